Read the configuration anew on SIGHUP, all of it or none; discovery may move

At fault: Daemon took SIGTERM and SIGINT only (src/daemon.cpp), so SIGHUP had its default action; nor could any part take new settings.

Now Daemon::Reload reads the file and checks all that can fail first: a bad file is one log line, and the old one stays. Reducer keeps a module for each set of settings, so that requests taken before end by theirs and nothing is learnt anew where the settings are the same. A Discovery for a moved address begins with the whole list, under no old version; the name table stands until it is there. A GW_* variable cannot change, so a field that the file has changed goes before it. lifecycle_test and core_test cover the move, a new class, a second SIGHUP, one beside SIGTERM, and bad files; on the program before, the daemon ends.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -178,6 +178,14 @@
   return value != nullptr && *value != '\0' ? value : fallback;
 }
 
+// One of the fields that a variable may go before. `was`, `held`: what the file said when it was last read and
+// what held then; null at the start.
+std::string ReadTold(const char* variable, const std::string& written, const std::string* was,
+                     const std::string& held) {
+  if (was == nullptr) return Env(variable, written);
+  return written.empty() || written == *was ? held : written;
+}
+
 std::optional<Endpoint> ReadLocalFront(const Field& f) {
   if (!f["enabled"].Bool(false)) return std::nullopt;
   const Endpoint endpoint = ParseEndpoint(f["listen"].Text(), f["listen"].path());
@@ -204,16 +212,24 @@
 }
 
 bool IsLoopback(const Endpoint& endpoint) { return endpoint.host.starts_with("127."); }
+bool operator==(const Endpoint& a, const Endpoint& b) { return a.host == b.host && a.port == b.port; }
 
-Config ReadConfig() {
+Config ReadConfig(const Config* before) {
   const std::string path = Env("GW_CONFIG", "");
   if (path.empty()) throw ConfigError("GW_CONFIG is not set");
   const Json json = ReadJson(path, "GW_CONFIG");
   const Field root(&json, "");
   Config c;
-  c.name = Env("GW_NAME", root["name"].Text("aldersill"));
-  c.listen = ParseEndpoint(Env("GW_LISTEN", root["listen"].Text("")), "listen");
-  const std::string discovery = Env("GW_DISCOVERY", root["discovery"].Text(""));
+  const auto text = [](const Endpoint& e) { return e.host + ":" + std::to_string(e.port); };
+  const Config::Written* was = before != nullptr ? &before->written : nullptr;
+  c.written = {root["name"].Text("aldersill"), root["listen"].Text(""), root["discovery"].Text("")};
+  c.name = ReadTold("GW_NAME", c.written.name, was ? &was->name : nullptr, before ? before->name : "");
+  c.listen = ParseEndpoint(ReadTold("GW_LISTEN", c.written.listen, was ? &was->listen : nullptr,
+                                    before ? text(before->listen) : ""),
+                           "listen");
+  const std::string discovery =
+      ReadTold("GW_DISCOVERY", c.written.discovery, was ? &was->discovery : nullptr,
+               before && before->discovery ? text(*before->discovery) : "");
   if (!discovery.empty()) c.discovery = ParseEndpoint(discovery, "discovery");
   const std::string seed = root["seed"].Text("0");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
@@ -232,6 +248,7 @@
   const Field settings = root["settings"];
   if (!settings.present()) settings.Bad("is missing");
   c.module = ReadModule(settings);
+  c.module_text = settings.json().dump();
   try {
     pulleyrouter::Dispatcher probe(c.module, 0);  // the module's own check of its settings
   } catch (const std::invalid_argument& e) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -25,6 +25,7 @@
 };
 Endpoint ParseEndpoint(const std::string& text, const std::string& field);
 bool IsLoopback(const Endpoint& endpoint);
+bool operator==(const Endpoint& a, const Endpoint& b);
 
 struct Config {
   std::string name;
@@ -35,6 +36,7 @@
   std::vector<Instance> known;
   std::uint64_t known_version = 0;
   pulleyrouter::Settings module;
+  std::string module_text;  // the settings as they were written, to tell whether they changed
   Micros dial_timeout = 250 * kMillisecond;
   Micros conn_idle = 10 * kSecond;
   std::optional<Endpoint> faktory;  // none: that front is off
@@ -43,10 +45,16 @@
   Micros fetch_wait = 2 * kSecond;       // how long a FETCH may wait before it gets null
   Micros worker_silence = 60 * kSecond;  // a Faktory worker not heard of for this long is gone
   Micros worker_return = kSecond;        // and so is one without a connection for this long
+  // What the file itself says of the fields that a variable may go before.
+  struct Written {
+    std::string name, listen, discovery;
+  } written;
 };
 
-// Reads the environment and the files it names; throws ConfigError.
-Config ReadConfig();
+// Reads the environment and the files it names; throws ConfigError. `before`: what was read last, if this is
+// not the start. A variable is told once and cannot change, so a field that the file has changed since goes
+// before it.
+Config ReadConfig(const Config* before = nullptr);
 
 }  // namespace aldersill
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -20,10 +20,22 @@
 
 }  // namespace
 
-Reducer::Reducer(CoreSettings settings) : s_(std::move(settings)), module_(s_.module, s_.seed) {
+Reducer::Reducer(CoreSettings settings) { Adopt(std::move(settings)); }
+
+void Reducer::Adopt(CoreSettings settings) {
+  const bool fresh = modules_.empty() || settings.module_changed;
+  s_ = std::move(settings);
+  if (!fresh) return;
+  const std::uint64_t number = modules_.empty() ? 0 : modules_.rbegin()->first + 1;
+  modules_.emplace(number, Module{pulleyrouter::Dispatcher(s_.module, s_.seed)});
+  class_of_.clear();
   for (const pulleyrouter::ClassSettings& c : s_.module.classes) {
-    class_of_.emplace(c.name, static_cast<int>(class_of_.size()));
-    counters_.classes.push_back(ClassCounters{.name = c.name});
+    const auto same = [&](const ClassCounters& known) { return known.name == c.name; };
+    auto counter = std::find_if(counters_.classes.begin(), counters_.classes.end(), same);
+    if (counter == counters_.classes.end())
+      counter = counters_.classes.insert(counter, ClassCounters{.name = c.name});
+    class_of_.emplace(c.name, Class{static_cast<int>(class_of_.size()),
+                                    static_cast<int>(counter - counters_.classes.begin())});
   }
 }
 
@@ -33,12 +45,18 @@
   std::visit([this](auto&& e) { On(std::move(e)); }, std::move(event));
   // The module is never called from within its own actions: what they bring about waits its turn here.
   while (!for_module_.empty()) {
-    const pulleyrouter::Event next = std::move(for_module_.front());
+    const auto [number, next] = std::move(for_module_.front());
     for_module_.pop_front();
+    const auto module = modules_.find(number);
+    if (module == modules_.end()) continue;  // done with: only its timers are still left
     actions_.clear();
-    module_.Handle(now_, next, &actions_);
+    acting_ = number;
+    module->second.dispatcher.Handle(now_, next, &actions_);
     for (const pulleyrouter::Action& action : actions_) std::visit([this](const auto& a) { Do(a); }, action);
   }
+  std::erase_if(modules_, [this](const auto& m) {
+    return m.second.open == 0 && m.first != modules_.rbegin()->first;
+  });
   counters_.open_requests = requests_.size();
   counters_.open_executions = executions_.size();
 }
@@ -51,21 +69,24 @@
     Ask(Answer{e.client, Failure{}});
     return;
   }
-  ++counters_.classes[klass->second].taken;
+  const auto [setting, counter] = klass->second;
+  ++counters_.classes[counter].taken;
   const RepeatGuard::Verdict verdict = e.job.guard_repeats
-                                           ? repeats_.Judge(e.job.id, s_.module.classes[klass->second], now_)
+                                           ? repeats_.Judge(e.job.id, s_.module.classes[setting], now_)
                                            : RepeatGuard::Verdict::kAdmit;
   if (verdict != RepeatGuard::Verdict::kAdmit) {
     const bool never = verdict == RepeatGuard::Verdict::kNever;
     ++counters_.repeats_barred;
-    ++(never ? counters_.classes[klass->second].failed : counters_.classes[klass->second].nacked);
+    ++(never ? counters_.classes[counter].failed : counters_.classes[counter].nacked);
     if (never) return Ask(Answer{e.client, Failure{Failure::Why::kRepeat}});
     return Ask(Answer{e.client, Nack{s_.module.max_retry_after}});
   }
   const std::uint64_t number = next_request_++;
   Request& r = requests_[number];
   r.client = e.client;
-  r.klass = klass->second;
+  r.counter = counter;
+  r.module = modules_.rbegin()->first;
+  ++modules_.rbegin()->second.open;
   r.taken = now_;
   // A tenth at most, or a client in a hurry would get no try at all.
   const Micros margin = std::min(s_.answer_margin, e.job.time_left / 10);
@@ -73,7 +94,7 @@
   if (e.job.guard_repeats) repeats_.Begin(e.job.id);
   r.job = std::make_shared<const Job>(std::move(e.job));
   by_client_[r.client] = number;
-  TellModule(pulleyrouter::Arrival{ModuleId(number), r.job->klass, r.job->tenant, r.job->subject,
+  TellModuleOf(r, pulleyrouter::Arrival{ModuleId(number), r.job->klass, r.job->tenant, r.job->subject,
                                    r.deadline - now_, r.job->work, r.job->slots, r.job->is_retry});
 }
 
@@ -84,8 +105,8 @@
   by_client_.erase(found);
   Request& r = requests_.at(number);
   r.answered = true;  // nobody is left to answer
-  ++counters_.classes[r.klass].left;
-  TellModule(pulleyrouter::ClientGone{ModuleId(number)});
+  ++counters_.classes[r.counter].left;
+  TellModuleOf(r, pulleyrouter::ClientGone{ModuleId(number)});
   ForgetIfDone(number);
 }
 
@@ -100,8 +121,8 @@
 void Reducer::On(ExecutionProgress&& e) {
   const auto found = executions_.find(e.execution);
   if (found == executions_.end()) return;
-  TellModule(
-      pulleyrouter::Progress{ModuleId(found->second.request), found->second.attempt, e.started, e.share});
+  TellModuleOf(requests_.at(found->second.request),
+               pulleyrouter::Progress{ModuleId(found->second.request), found->second.attempt, e.started, e.share});
 }
 
 void Reducer::On(ExecutionEnded&& e) {
@@ -116,7 +137,7 @@
 }
 
 void Reducer::On(TimerDue&& e) {
-  if (e.key.wait == TimerKey::Wait::kModule) return TellModule(pulleyrouter::TimerFired{e.key.id});
+  if (e.key.wait == TimerKey::Wait::kModule) return TellModule(e.key.module, pulleyrouter::TimerFired{e.key.id});
   const ExecutionNo number{e.key.id};
   const auto found = executions_.find(number);
   if (found == executions_.end()) return;
@@ -159,12 +180,13 @@
   if (e.source == Instance::Source::kSession) {
     // As a list of old: any other would tell the module that it is subscribed, and it would never ask
     // discovery.
-    TellModule(WholeList(WorkerList::Form::kCached));
+    TellModules(WholeList(WorkerList::Form::kCached));
   } else if (!whole) {
-    TellModule(std::move(changes));
+    TellModules(std::move(changes));
   } else {
     const bool old = e.form == NameTableNews::Form::kRemembered;
-    TellModule(WholeList(old ? WorkerList::Form::kCached : WorkerList::Form::kFull));
+    watched_ = !old;
+    TellModules(WholeList(old ? WorkerList::Form::kCached : WorkerList::Form::kFull));
   }
   // What is decided but not yet handed over must not reach an instance that has meanwhile been told to drain.
   std::vector<ExecutionNo> late;
@@ -178,11 +200,20 @@
 
 void Reducer::On(NameTableFailed&&) {
   ++counters_.name_table_failures;
-  TellModule(WorkerList{WorkerList::Form::kFailed, {}});
+  watched_ = false;
+  TellModules(WorkerList{WorkerList::Form::kFailed, {}});
 }
 
 void Reducer::On(ProbeAnswered&& e) {
-  TellModule(pulleyrouter::ProbeDone{e.instance, e.outcome, e.elapsed, e.report});
+  TellModules(pulleyrouter::ProbeDone{e.instance, e.outcome, e.elapsed, e.report});
+}
+
+void Reducer::On(SettingsChanged&& e) {
+  const std::uint64_t before = modules_.rbegin()->first;
+  Adopt(std::move(e.settings));
+  const std::uint64_t now = modules_.rbegin()->first;
+  // Known workers go on being used; the watch goes on as well where there is one.
+  if (now != before) TellModule(now, WholeList(watched_ ? WorkerList::Form::kFull : WorkerList::Form::kCached));
 }
 
 // ---- The module's actions ----
@@ -199,7 +230,7 @@
   const bool listed = known != name_table_.end() && known->second.state == Instance::State::kReady;
   if (!listed || r.answered || now_ >= r.deadline) {
     // The module's own list cannot differ from ours; were it to, nothing may be sent on its word.
-    TellModule(pulleyrouter::AttemptEnded{a.request, attempt, Outcome::kNotSent, r.answered, 0, {}});
+    TellModuleOf(r, pulleyrouter::AttemptEnded{a.request, attempt, Outcome::kNotSent, r.answered, 0, {}});
     return;
   }
   ++r.open;
@@ -237,7 +268,7 @@
 }
 
 void Reducer::Do(const pulleyrouter::SetTimer& a) {
-  Ask(SetTimer{{TimerKey::Wait::kModule, a.token}, a.delay});
+  Ask(SetTimer{{TimerKey::Wait::kModule, a.token, acting_}, a.delay});
 }
 
 void Reducer::Do(const pulleyrouter::Probe& a) {
@@ -249,7 +280,7 @@
 void Reducer::Do(const pulleyrouter::SubscribeList&) {
   if (s_.has_discovery) return Ask(WatchNameTable{});
   // Nobody to ask: the sessions' own word is the whole list, and it comes unasked.
-  TellModule(WholeList(WorkerList::Form::kFull));
+  TellModule(acting_, WholeList(WorkerList::Form::kFull));
 }
 
 void Reducer::Do(const pulleyrouter::Log& a) { Ask(LogLine{a.text}); }
@@ -276,11 +307,11 @@
   const bool ran = MayHaveRun(outcome) && (outcome != Outcome::kCancelled || x.handed_over);
   if (ran && r.first_run == 0) r.first_run = x.handed_over ? x.handed_at : now_;
   if (outcome == Outcome::kServed && !r.answered) {
-    counters_.classes[r.klass].served_ms += static_cast<std::uint64_t>((now_ - r.taken) / kMillisecond);
+    counters_.classes[r.counter].served_ms += static_cast<std::uint64_t>((now_ - r.taken) / kMillisecond);
     Finish(x.request, Served{std::move(result)});
   }
-  TellModule(
-      pulleyrouter::AttemptEnded{ModuleId(x.request), x.attempt, outcome, r.answered, now_ - x.sent, report});
+  TellModuleOf(
+      r, pulleyrouter::AttemptEnded{ModuleId(x.request), x.attempt, outcome, r.answered, now_ - x.sent, report});
   ForgetIfDone(x.request);
 }
 
@@ -288,7 +319,7 @@
   const auto found = requests_.find(number);
   if (found == requests_.end() || std::exchange(found->second.answered, true)) return;
   Request& r = found->second;
-  ClassCounters& count = counters_.classes[r.klass];
+  ClassCounters& count = counters_.classes[r.counter];
   ++(std::holds_alternative<Served>(answer) ? count.served
      : std::holds_alternative<Nack>(answer) ? count.nacked
                                             : count.failed);
@@ -301,6 +332,7 @@
   if (found == requests_.end() || !found->second.answered || found->second.open > 0) return;
   const Request& r = found->second;
   if (r.job->guard_repeats) repeats_.End(r.job->id, r.first_run);
+  --modules_.at(r.module).open;
   requests_.erase(found);
 }
 
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -18,16 +18,6 @@
 
 namespace aldersill {
 
-struct CoreSettings {
-  pulleyrouter::Settings module;
-  std::uint64_t seed = 0;
-  bool has_discovery = true;
-  Micros dial_timeout = 250 * kMillisecond;      // to hand an execution to an instance that listens
-  Micros fetch_patience = 1'000 * kMillisecond;  // and to one that fetches
-  // Taken off what the client says it will wait: the answer still has to travel.
-  Micros answer_margin = 20 * kMillisecond;
-};
-
 class Reducer {
  public:
   explicit Reducer(CoreSettings settings);
@@ -42,7 +32,8 @@
   struct Request {
     ClientRef client;
     std::shared_ptr<const Job> job;
-    int klass = 0;
+    std::uint64_t module = 0;  // which one decides on it, from first to last
+    int counter = 0;           // of its class, in counters_.classes
     Micros taken = 0;
     Micros deadline = 0;
     Micros first_run = 0;  // hand-over of the first execution that may have run
@@ -70,6 +61,7 @@
   void On(NameTableNews&& e);
   void On(NameTableFailed&& e);
   void On(ProbeAnswered&& e);
+  void On(SettingsChanged&& e);
 
   void Do(const pulleyrouter::Send& a);
   void Do(const pulleyrouter::Cancel& a);
@@ -80,18 +72,32 @@
   void Do(const pulleyrouter::SubscribeList& a);
   void Do(const pulleyrouter::Log& a);
 
-  void TellModule(pulleyrouter::Event event) { for_module_.push_back(std::move(event)); }
+  // Settings read anew get a module of their own; the one before lives on until its last request is done.
+  struct Module {
+    pulleyrouter::Dispatcher dispatcher;
+    std::size_t open = 0;  // requests it decides on
+  };
+  void Adopt(CoreSettings settings);
+  void TellModule(std::uint64_t module, pulleyrouter::Event event) {
+    for_module_.emplace_back(module, std::move(event));
+  }
+  void TellModules(const pulleyrouter::Event& event) {
+    for (const auto& [number, module] : modules_) TellModule(number, event);
+  }
+  void TellModuleOf(const Request& r, pulleyrouter::Event event) { TellModule(r.module, std::move(event)); }
   void End(ExecutionNo number, Outcome outcome, std::string result, LoadReport report, bool stop);
   void Finish(std::uint64_t number, FinalAnswer answer);
   void ForgetIfDone(std::uint64_t number);
   pulleyrouter::WorkerList WholeList(pulleyrouter::WorkerList::Form form) const;
   void Ask(Effect effect) { effects_->push_back(std::move(effect)); }
 
-  const CoreSettings s_;
-  pulleyrouter::Dispatcher module_;
+  CoreSettings s_;
+  std::map<std::uint64_t, Module> modules_;  // the last is the one for new requests
+  std::uint64_t acting_ = 0;                 // the one whose actions are being carried out
+  bool watched_ = false;                     // discovery's list came whole, and its changes come
   Micros now_ = 0;
   std::vector<Effect>* effects_ = nullptr;
-  std::deque<pulleyrouter::Event> for_module_;
+  std::deque<std::pair<std::uint64_t, pulleyrouter::Event>> for_module_;
   std::vector<pulleyrouter::Action> actions_;
   std::uint64_t next_request_ = 1;
   std::uint64_t next_execution_ = 1;
@@ -101,7 +107,11 @@
   // Given up on, yet out at instances that cannot be told to stop, with the ids of their jobs.
   std::map<ExecutionNo, std::string> still_out_;
   std::map<std::string, Instance> name_table_;
-  std::unordered_map<std::string, int> class_of_;
+  struct Class {
+    int setting = 0;  // in s_.module.classes
+    int counter = 0;  // in counters_.classes
+  };
+  std::unordered_map<std::string, Class> class_of_;
   RepeatGuard repeats_;
   Counters counters_;
 };
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -63,8 +63,24 @@
   Source source = Source::kDiscovery;
 };
 
+// What the core is told of its settings, at the start and again whenever the configuration is read anew.
+struct CoreSettings {
+  pulleyrouter::Settings module;
+  bool module_changed = true;  // against those before: a module with what it has learnt is not given up for nothing
+  std::uint64_t seed = 0;
+  bool has_discovery = true;
+  Micros dial_timeout = 250 * kMillisecond;      // to hand an execution to an instance that listens
+  Micros fetch_patience = 1'000 * kMillisecond;  // and to one that fetches
+  // Taken off what the client says it will wait: the answer still has to travel.
+  Micros answer_margin = 20 * kMillisecond;
+};
+
 // ---- Events ----
 
+struct SettingsChanged {
+  CoreSettings settings;
+};
+
 struct RequestTaken {
   ClientRef client;
   Job job;
@@ -93,6 +109,7 @@
 struct TimerKey {
   enum class Wait { kModule, kHandover, kGiveUp } wait = Wait::kModule;
   std::uint64_t id = 0;
+  std::uint64_t module = 0;  // kModule: which one, in the order of their settings
   auto operator<=>(const TimerKey&) const = default;
 };
 struct TimerDue {
@@ -111,7 +128,8 @@
   LoadReport report;
 };
 using Event = std::variant<RequestTaken, ClientLeft, ExecutionHandedOver, ExecutionProgress, ExecutionEnded,
-                           ExecutionReleased, TimerDue, NameTableNews, NameTableFailed, ProbeAnswered>;
+                           ExecutionReleased, TimerDue, NameTableNews, NameTableFailed, ProbeAnswered,
+                           SettingsChanged>;
 
 // ---- Effects ----
 
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -34,6 +34,27 @@
   return s;
 }
 
+// How the descriptors are shared out.
+struct Shares {
+  explicit Shares(const Config& c) {
+    const int all = c.sockets - kReserved;
+    sessions = c.faktory ? all / 4 : 0;
+    clients = instances = (all - sessions) / 2;
+  }
+  int sessions = 0, clients = 0, instances = 0;
+};
+
+faktory::FrontSettings ForFaktory(const Config& c) {
+  faktory::FrontSettings s;
+  s.listen = *c.faktory;
+  s.fetch_wait = c.fetch_wait;
+  s.silence = c.worker_silence;
+  s.return_within = c.worker_return;
+  s.most_connections = Shares(c).sessions;
+  for (const auto& klass : c.module.classes) s.classes.emplace(klass.name, klass.deadline);
+  return s;
+}
+
 std::unordered_set<std::string> ClassNames(const Config& c) {
   std::unordered_set<std::string> names;
   for (const auto& klass : c.module.classes) names.insert(klass.name);
@@ -54,41 +75,30 @@
 
 }  // namespace
 
-Daemon::Daemon(const Config& config) : base_(NewBase()), reducer_(ForCore(config)) {
+Daemon::Daemon(Config config) : base_(NewBase()), config_(std::move(config)), reducer_(ForCore(config_)) {
   // One clock for all: it reads as Unix time, as name tables tell starts in it, but never steps back.
   clock_offset_ = UnixNow() - SteadyNow();
-  const int all = config.sockets - kReserved;
-  const int sessions = config.faktory ? all / 4 : 0;
-  const int connections = all - sessions;
-  instances_ = std::make_unique<InstanceLink>(base_.get(), config.name, config.dial_timeout, config.conn_idle,
-                                              connections / 2, this);
-  if (config.discovery)
-    discovery_ = std::make_unique<Discovery>(base_.get(), *config.discovery, config.known_version, this);
+  const Shares shares(config_);
+  instances_ = std::make_unique<InstanceLink>(base_.get(), config_.dial_timeout, config_.conn_idle,
+                                              shares.instances, this);
+  if (config_.discovery)
+    discovery_ = std::make_unique<Discovery>(base_.get(), *config_.discovery, config_.known_version, this);
   clients_ =
-      std::make_unique<ClientFront>(base_.get(), config.listen, ClassNames(config), connections / 2, this);
-  if (config.faktory) {
-    faktory::FrontSettings settings;
-    settings.listen = *config.faktory;
-    settings.fetch_wait = config.fetch_wait;
-    settings.silence = config.worker_silence;
-    settings.return_within = config.worker_return;
-    settings.most_connections = sessions;
-    for (const auto& klass : config.module.classes) settings.classes.emplace(klass.name, klass.deadline);
-    faktory_ = std::make_unique<faktory::Front>(base_.get(), std::move(settings), this);
-  }
-  if (config.snmp) {
-    snmp_ = std::make_unique<snmp::Agent>(base_.get(), *config.snmp, &reducer_.counters());
-    Log("door snmp on %s:%d", config.snmp->host.c_str(), snmp_->port());
+      std::make_unique<ClientFront>(base_.get(), config_.listen, ClassNames(config_), shares.clients, this);
+  if (config_.faktory) faktory_ = std::make_unique<faktory::Front>(base_.get(), ForFaktory(config_), this);
+  if (config_.snmp) {
+    snmp_ = std::make_unique<snmp::Agent>(base_.get(), *config_.snmp, &reducer_.counters());
+    Log("door snmp on %s:%d", config_.snmp->host.c_str(), snmp_->port());
   }
-  for (const int number : {SIGTERM, SIGINT}) {
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
     signals_.emplace_back(evsignal_new(base_.get(), number, &Daemon::OnSignal, this));
     evsignal_add(signals_.back().get(), nullptr);
   }
   quiet_timer_ = std::make_unique<Timer>(base_.get(), [this] { EndIfQuiet(); });
-  Tell(NameTableNews{NameTableNews::Form::kRemembered, Instance::Source::kDiscovery, config.known});
-  if (faktory_ != nullptr) Log("door faktory on %s:%d", config.faktory->host.c_str(), faktory_->port());
-  Log("door http on %s:%d", config.listen.host.c_str(), clients_->port());
-  Log("%s: serving, %zu instances remembered", config.name.c_str(), config.known.size());
+  Tell(NameTableNews{NameTableNews::Form::kRemembered, Instance::Source::kDiscovery, config_.known});
+  if (faktory_ != nullptr) Log("door faktory on %s:%d", config_.faktory->host.c_str(), faktory_->port());
+  Log("door http on %s:%d", config_.listen.host.c_str(), clients_->port());
+  Log("%s: serving, %zu instances remembered", config_.name.c_str(), config_.known.size());
 }
 
 Daemon::~Daemon() = default;
@@ -142,7 +152,49 @@
 
 void Daemon::Do(const ClearTimer& e) { timers_.erase(e.key); }
 
-void Daemon::OnSignal(evutil_socket_t, short, void* self) { static_cast<Daemon*>(self)->BeginDrain(); }
+void Daemon::OnSignal(evutil_socket_t number, short, void* self) {
+  auto* daemon = static_cast<Daemon*>(self);
+  number == SIGHUP ? daemon->Reload() : daemon->BeginDrain();
+}
+
+void Daemon::Reload() {
+  // All that can fail comes first, so that a bad file changes nothing.
+  Config next;
+  EventPtr<evconnlistener> http_door, faktory_door;
+  try {
+    next = ReadConfig(&config_);
+    if (next.snmp.has_value() != config_.snmp.has_value() || (next.snmp && !(*next.snmp == *config_.snmp)))
+      throw ConfigError("snmp cannot change while the program runs");
+    if (!(next.listen == config_.listen)) http_door = ListenOn(base_.get(), next.listen, "listen", nullptr, nullptr);
+    if (faktory_ != nullptr && next.faktory && !(config_.faktory && *next.faktory == *config_.faktory))
+      faktory_door = faktory_->Open(*next.faktory);
+    if (faktory_ == nullptr && next.faktory)
+      faktory_ = std::make_unique<faktory::Front>(base_.get(), ForFaktory(next), this);
+  } catch (const std::exception& e) {
+    Log("configuration not taken over: %s", e.what());
+    return;
+  }
+  const bool moved = next.discovery.has_value() != config_.discovery.has_value() ||
+                     (next.discovery && !(*next.discovery == *config_.discovery));
+  CoreSettings core = ForCore(next);
+  core.module_changed = next.module_text != config_.module_text;
+  const Shares shares(next);
+  config_ = std::move(next);
+  instances_->Adopt(config_.dial_timeout, config_.conn_idle, shares.instances);
+  clients_->Adopt(ClassNames(config_), shares.clients, std::move(http_door));
+  if (config_.faktory) faktory_->Adopt(ForFaktory(config_), std::move(faktory_door));
+  if (!config_.faktory && faktory_ != nullptr) faktory_->Close();
+  Tell(SettingsChanged{std::move(core)});
+  if (moved) {
+    discovery_.reset();
+    // Its versions are its own: the whole list first, and until then the workers that are known serve on.
+    if (config_.discovery) {
+      discovery_ = std::make_unique<Discovery>(base_.get(), *config_.discovery, std::nullopt, this);
+      discovery_->Watch();
+    }
+  }
+  Log("configuration read anew%s", moved ? ", discovery moved" : "");
+}
 
 void Daemon::BeginDrain() {
   if (drain_began_ != 0) return;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -21,7 +21,7 @@
 
 class Daemon : public EventSink {
  public:
-  explicit Daemon(const Config& config);
+  explicit Daemon(Config config);
   ~Daemon() override;
 
   void Run();
@@ -40,10 +40,13 @@
 
   static void OnSignal(evutil_socket_t signal, short what, void* self);
   void BeginDrain();
+  // Reads the configuration anew and takes all of it over, or none.
+  void Reload();
   void EndIfQuiet();
   Micros Now() const;
 
   EventPtr<event_base> base_;
+  Config config_;
   Reducer reducer_;
   std::deque<Event> events_;
   bool reducing_ = false;
--- a/src/faktory/front.cpp
+++ b/src/faktory/front.cpp
@@ -240,10 +240,24 @@
     : base_(base), s_(std::move(settings)), sink_(sink), began_(SteadyNow()), drain_timer_(base, [this] {
         CloseIdle();
       }) {
-  listener_ = ListenOn(base, s_.listen, "faktory.listen", &Front::OnAccept, this);
+  listener_ = Open(s_.listen);
 }
 Front::~Front() = default;
 
+EventPtr<evconnlistener> Front::Open(const Endpoint& listen) {
+  return ListenOn(base_, listen, "faktory.listen", &Front::OnAccept, this);
+}
+
+void Front::Adopt(FrontSettings settings, EventPtr<evconnlistener> listener) {
+  s_ = std::move(settings);
+  if (listener == nullptr) return;
+  if (listener_ == nullptr) {
+    drain_began_ = 0;
+    drain_timer_.Clear();
+  }
+  listener_ = std::move(listener);
+}
+
 int Front::port() const { return PortOf(evconnlistener_get_fd(listener_.get())); }
 
 void Front::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
@@ -264,6 +278,11 @@
   CloseIdle();
 }
 
+void Front::Close() {
+  listener_.reset();
+  BeginDrain();
+}
+
 void Front::CloseIdle() {
   std::vector<Session*> idle;
   for (const auto& [raw, owned] : sessions_) {
--- a/src/faktory/front.h
+++ b/src/faktory/front.h
@@ -32,6 +32,10 @@
   Front(event_base* base, FrontSettings settings, EventSink* sink);
   ~Front();
 
+  // New settings. `listener`: in place of the one it has; null keeps that.
+  void Adopt(FrontSettings settings, EventPtr<evconnlistener> listener);
+  // Where a new endpoint will be listened on once it is adopted. Throws std::runtime_error if it cannot be.
+  EventPtr<evconnlistener> Open(const Endpoint& listen);
   int port() const;
   void Reply(std::uint64_t client, const FinalAnswer& answer);
   void Start(const StartExecution& start);
@@ -39,6 +43,8 @@
   // From here on closes producers' sessions, each between two commands. Workers stay: what was taken needs
   // them.
   void BeginDrain();
+  // Switched off: takes no newcomers, and ends what it has as in a drain. Adopt() switches it on again.
+  void Close();
   // Whether every producer has gone.
   bool Quiet() const;
 
@@ -82,7 +88,7 @@
   void CloseIdle();
 
   event_base* base_;
-  const FrontSettings s_;
+  FrontSettings s_;
   EventSink* sink_;
   EventPtr<evconnlistener> listener_;
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -77,7 +77,7 @@
   evhttp_set_bevcb(server_.get(), &ClientFront::OnAccept, this);
   evhttp_set_gencb(server_.get(), &ClientFront::OnRequest, this);
   listener_ = ListenOn(base, listen, "listen", nullptr, nullptr).release();
-  evhttp_bind_listener(server_.get(), listener_);
+  bound_ = evhttp_bind_listener(server_.get(), listener_);
   prune_timer_ = std::make_unique<Timer>(base_, [this] {
     Prune();
     if (draining_) CloseIdle();
@@ -93,6 +93,16 @@
   for (const Connection& c : connections_) bufferevent_decref(c.stream);
 }
 
+void ClientFront::Adopt(std::unordered_set<std::string> classes, int most_connections,
+                        EventPtr<evconnlistener> listener) {
+  classes_ = std::move(classes);
+  most_connections_ = static_cast<std::size_t>(most_connections);
+  if (listener == nullptr) return;
+  evhttp_del_accept_socket(server_.get(), bound_);
+  listener_ = listener.release();
+  bound_ = evhttp_bind_listener(server_.get(), listener_);
+}
+
 int ClientFront::port() const { return PortOf(evconnlistener_get_fd(listener_)); }
 
 bufferevent* ClientFront::OnAccept(event_base* base, void* self) {
--- a/src/http/client_front.h
+++ b/src/http/client_front.h
@@ -25,6 +25,8 @@
   ~ClientFront();
 
   int port() const;  // the one it listens on, which the kernel chose if the endpoint had none
+  // New settings. `listener`: in place of the one it has; null keeps that.
+  void Adopt(std::unordered_set<std::string> classes, int most_connections, EventPtr<evconnlistener> listener);
   void Reply(std::uint64_t client, const FinalAnswer& answer);
 
   // From now on connections end between requests; new ones are still taken.
@@ -53,6 +55,7 @@
   EventSink* sink_;
   EventPtr<evhttp> server_;
   evconnlistener* listener_ = nullptr;  // owned by server_
+  evhttp_bound_socket* bound_ = nullptr;
   std::unordered_map<std::uint64_t, std::unique_ptr<Held>> held_;
   std::unordered_map<bufferevent*, std::uint64_t> held_on_;
   // evhttp tells of no connection that ends before its first request, so each is counted by a reference of
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-Discovery::Discovery(event_base* base, const Endpoint& endpoint, std::uint64_t known_version, EventSink* sink)
+Discovery::Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
+                     EventSink* sink)
     : base_(base), endpoint_(endpoint), sink_(sink), version_(known_version) {
   overdue_ = std::make_unique<Timer>(base_, [this] {
     if (out_ != nullptr) evhttp_cancel_request(std::exchange(out_, nullptr));
@@ -30,7 +31,10 @@
   // Not from within evhttp's callback, which is not done with the connection yet.
   renew_ = std::make_unique<Timer>(base_, [this] { Call(kWait); });
 }
-Discovery::~Discovery() = default;
+Discovery::~Discovery() {
+  // Freeing the connection must not tell of the end of a call that nobody waits for any more.
+  if (out_ != nullptr) evhttp_cancel_request(std::exchange(out_, nullptr));
+}
 
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;
@@ -48,8 +52,8 @@
   evhttp_request* request = evhttp_request_new(&Discovery::OnDone, this);
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                     (endpoint_.host + ":" + std::to_string(endpoint_.port)).c_str());
-  const std::string path =
-      "/api/targets?index=" + std::to_string(version_) + "&wait=" + std::to_string(wait / kMillisecond);
+  std::string path = "/api/targets";
+  if (version_) path += "?index=" + std::to_string(*version_) + "&wait=" + std::to_string(wait / kMillisecond);
   out_ = request;
   overdue_->Set(wait + kPatience);
   // On failure evhttp frees the request and calls nobody.
@@ -80,6 +84,8 @@
   } catch (const BadMessage& e) {
     return Fail(e.what());
   }
+  // Changes to a list that we do not have.
+  if (!message.full && !version_) return Fail("changes came before the whole list");
   version_ = message.version;
   const evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get()));
   const int on = 1;
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "config/config.h"
 #include "core/types.h"
@@ -13,7 +14,10 @@
 
 class Discovery {
  public:
-  Discovery(event_base* base, const Endpoint& endpoint, std::uint64_t known_version, EventSink* sink);
+  // `known_version`: of the list that is known already; none where it came from elsewhere, so that the first
+  // news must be the whole list.
+  Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
+            EventSink* sink);
   ~Discovery();
 
   // Begins a watch, unless one is on. What it brings is told as it comes; its end is told once.
@@ -32,7 +36,7 @@
   std::unique_ptr<Timer> overdue_;
   std::unique_ptr<Timer> renew_;
   evhttp_request* out_ = nullptr;
-  std::uint64_t version_;
+  std::optional<std::uint64_t> version_;
   bool watching_ = false;
 };
 
--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -284,16 +284,19 @@
   std::vector<ExecutionProgress> notes_;
 };
 
-InstanceLink::InstanceLink(event_base* base, std::string name, Micros dial_timeout, Micros conn_idle,
-                           int most_connections, EventSink* sink)
-    : base_(base),
-      name_(std::move(name)),
-      dial_timeout_(dial_timeout),
-      // Well before the instance's machine would: a request that crosses its close is lost, maybe after a
-      // run.
-      keep_idle_(conn_idle - std::min(conn_idle / 4, 2 * kSecond)),
-      most_connections_(static_cast<std::size_t>(most_connections)),
-      sink_(sink) {}
+InstanceLink::InstanceLink(event_base* base, Micros dial_timeout, Micros conn_idle, int most_connections,
+                           EventSink* sink)
+    : base_(base), sink_(sink) {
+  Adopt(dial_timeout, conn_idle, most_connections);
+}
+
+void InstanceLink::Adopt(Micros dial_timeout, Micros conn_idle, int most_connections) {
+  dial_timeout_ = dial_timeout;
+  // Well before the instance's machine would: a request that crosses its close is lost, maybe after a run.
+  keep_idle_ = conn_idle - std::min(conn_idle / 4, 2 * kSecond);
+  most_connections_ = static_cast<std::size_t>(most_connections);
+}
+
 InstanceLink::~InstanceLink() = default;
 
 InstanceLink::Connection* InstanceLink::Open(const std::string& address) {
--- a/src/http/instance_link.h
+++ b/src/http/instance_link.h
@@ -18,10 +18,11 @@
 
 class InstanceLink {
  public:
-  InstanceLink(event_base* base, std::string name, Micros dial_timeout, Micros conn_idle,
+  InstanceLink(event_base* base, Micros dial_timeout, Micros conn_idle,
                int most_connections, EventSink* sink);
   ~InstanceLink();
 
+  void Adopt(Micros dial_timeout, Micros conn_idle, int most_connections);
   void Start(const StartExecution& start);
   void Stop(ExecutionNo execution);
   void Probe(const ProbeInstance& probe);
@@ -37,10 +38,9 @@
   void Remove(Connection* connection);
 
   event_base* base_;
-  const std::string name_;
-  const Micros dial_timeout_;
-  const Micros keep_idle_;
-  const std::size_t most_connections_;
+  Micros dial_timeout_ = 0;
+  Micros keep_idle_ = 0;
+  std::size_t most_connections_ = 0;
   EventSink* sink_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_map<std::string, std::vector<Connection*>> idle_;  // by address, the latest used last
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -242,5 +242,24 @@
   CHECK(shown == ObjectsOfMib());
 }
 
+TEST_CASE("settings read anew rule the requests that come from then on; those before end by theirs") {
+  Bench b;
+  b.Ask(1, "safe");
+  const StartExecution first = b.Only<StartExecution>();
+  CoreSettings next = Settings();
+  next.module.classes.erase(next.module.classes.begin());
+  next.module.classes.push_back({.name = "new", .target = 400'000, .deadline = 5 * kSecond});
+  b.Tell(SettingsChanged{next});
+  b.Ask(2, "new");
+  const StartExecution second = b.Only<StartExecution>();
+  b.Ask(3, "safe");
+  CHECK(std::holds_alternative<Failure>(b.Only<Answer>().answer));
+  for (const StartExecution& start : {second, first}) {
+    b.Tell(ExecutionHandedOver{start.execution});
+    b.Tell(ExecutionEnded{start.execution, Outcome::kServed, "ok", {}});
+    CHECK(std::get<Served>(b.Only<Answer>().answer).result == "ok");
+  }
+}
+
 }  // namespace
 }  // namespace aldersill
--- a/tests/daemon/daemon_under_test.h
+++ b/tests/daemon/daemon_under_test.h
@@ -30,8 +30,7 @@
     std::string pattern = (std::filesystem::temp_directory_path() / "aldersill-XXXXXX").string();
     if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp");
     folder_ = pattern;
-    std::ofstream(folder_ / "config.json") << config;
-    std::ofstream(folder_ / "fronts.json") << fronts;
+    Write(config.dump(), fronts);
     int log[2];
     if (pipe(log) != 0) throw std::runtime_error("pipe");
     pid_ = fork();
@@ -65,6 +64,18 @@
     std::filesystem::remove_all(folder_, ignored);
   }
 
+  // Replaces its files; it reads them when it is told to.
+  void Write(const std::string& config, const nlohmann::json& fronts) {
+    std::ofstream(folder_ / "config.json") << config;
+    std::ofstream(folder_ / "fronts.json") << fronts;
+  }
+  // Reads its log up to a line with this text; false if it ends without one.
+  bool Logs(const std::string& text) {
+    for (std::string line; NextLine(&line);) {
+      if (line.find(text) != std::string::npos) return true;
+    }
+    return false;
+  }
   const std::map<std::string, std::uint16_t>& ports() const { return ports_; }
   pid_t pid() const { return pid_; }
   void Signal(int number) { kill(pid_, number); }
--- a/tests/daemon/lifecycle_test.cpp
+++ b/tests/daemon/lifecycle_test.cpp
@@ -1,4 +1,4 @@
-// Start and end of the program: bad configurations, SIGTERM.
+// Start and end of the program, and what it is told meanwhile: bad configurations, SIGTERM, SIGHUP.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <sys/socket.h>
@@ -53,6 +53,72 @@
   CHECK(daemon.log() == "aldersill: faktory.listen must be a loopback address\n");
 }
 
+std::string Ask(const std::string& peer, const std::string& klass, const std::string& id) {
+  return "connect " + peer + " http\nsend " + peer + "\n| POST /" + klass + " HTTP/1.1\n| Host: a\n| Req-Id: " + id +
+         "\n| Req-Kind: " + klass + "\n| Req-Deadline: 9000m\n| Content-Length: 0\n|\n";
+}
+std::string Run(const std::string& peer, const std::string& klass, const std::string& id) {
+  return "expect " + peer + "\n| POST /" + klass + " HTTP/1.1\n| Host: {*}\n| Req-Id: " + id + "\n| Req-Kind: " + klass +
+         "\n| Req-Deadline: {*}\n| Content-Length: 0\n|\n";
+}
+std::string Done(const std::string& peer, const std::string& id) {
+  return "send " + peer + "\n| HTTP/1.1 200 OK\n| Content-Length: {length}\n|\n|- {\"id\":\"" + id +
+         "\",\"state\":\"done\",\"result\":\"ok\"}\\n\n";
+}
+std::string List(const std::string& peer, int version, const std::string& id, const std::string& worker) {
+  return "send " + peer + "\n| HTTP/1.1 200 OK\n| Content-Length: {length}\n|\n|- {\"version\":" + std::to_string(version) +
+         ",\"full\":true,\"servers\":[{\"id\":\"" + id + "\",\"addr\":\"{" + worker +
+         "}\",\"zone\":\"quilicura\",\"state\":\"SERVING\"}]}\n";
+}
+std::string Call(const std::string& peer, const std::string& query) {
+  return "expect " + peer + "\n| GET /api/targets" + query + " HTTP/1.1\n| Host: {*}\n|\n";
+}
+
+TEST_CASE("on SIGHUP the file is read anew: discovery moves, settings change, what was taken goes on") {
+  tools::Player player({});
+  nlohmann::json config = Config();
+  const auto at = [&](const char* name) { return "127.0.0.1:" + std::to_string(player.Listen(name)); };
+  config["discovery"] = at("d1");
+  player.Listen("w1"), player.Listen("w2");
+  DaemonUnderTest daemon(config, nlohmann::json::object());
+  player.AddDoor("http", daemon.ports().at("http"));
+  const std::string served = "| HTTP/1.1 200 OK\n";
+  CHECK(player.Play("accept d d1\n" + Call("d", "?index=1&wait=0") + List("d", 40, "s-1", "w1") +
+                    Call("d", "?index=40&wait={*}") + Ask("a", "cobro", "r1") + "accept x w1\n" +
+                    Run("x", "cobro", "r1")) == "");
+  config["discovery"] = at("d2");
+  config["settings"]["grades"].push_back(config["settings"]["grades"][2]);
+  config["settings"]["grades"].back()["name"] = "nueva";
+  daemon.Write(config.dump(), nlohmann::json::object());
+  daemon.Signal(SIGHUP);
+  daemon.Signal(SIGHUP);
+  REQUIRE(daemon.Logs("discovery moved"));
+  // The new address is asked for its whole list, under no version of the old one. Until it answers the workers
+  // known serve on, and the class that is new is known.
+  CHECK(player.Play("expect-end d\naccept e d2\n" + Call("e", "") + Ask("b", "nueva", "r2") + "accept y w1\n" +
+                    Run("y", "nueva", "r2") + Done("x", "r1") + "expect a\n" + served + Done("y", "r2") +
+                    "expect b\n" + served) == "");
+  CHECK(player.Play(List("e", 3, "s-2", "w2") + Call("e", "?index=3&wait={*}") + Ask("c", "cobro", "r3") +
+                    "accept z w2\n" + Run("z", "cobro", "r3") + Done("z", "r3") + "expect c\n" + served) == "");
+  daemon.Signal(SIGTERM);
+  daemon.Signal(SIGHUP);
+  CHECK(daemon.Wait() == 0);
+}
+
+TEST_CASE("on SIGHUP a bad file is one log line, and the one before holds") {
+  nlohmann::json config = Config();
+  DaemonUnderTest daemon(config, nlohmann::json::object());
+  for (const char* bad : {"{\"listen\":", "[]", "{\"listen\":\"localhost\"}"}) {
+    daemon.Write(bad, nlohmann::json::object());
+    daemon.Signal(SIGHUP);
+    REQUIRE(daemon.Logs("configuration not taken over: "));
+  }
+  tools::Player player({{"http", daemon.ports().at("http")}});
+  CHECK(player.Play(Ask("a", "cobro", "r1") + "expect a\n| HTTP/1.1 503 Service Unavailable\n") == "");
+  daemon.Signal(SIGTERM);
+  CHECK(daemon.Wait() == 0);
+}
+
 TEST_CASE("on SIGTERM what was taken is finished, newcomers are served, then it ends with 0") {
   tools::Player player({});
   const std::uint16_t worker = player.Listen("w1");
