Replace evhttp's server by a strict front that bounds arrival and spares silent connections

At fault: ClientFront stopped accepting at its limit with nobody to make it room again for 120 s; evhttp has no bound on a request's arrival, closes on an error while the peer still sends, and takes bare LF, folding, doubled fields and a length beside an encoding. An id taken before was taken again. evhttp cannot be made strict from outside, so the front is on bufferevents with http_parser, as the instance links are; RequestReader refuses byte by byte what http_parser would let pass. A request must come whole within 2.4 s. At the limit the connection that can best be spared goes: told ones, silent ones, idle ones; never one with a request in hand. An error is written, then what still comes is thrown away for 3 s. Bodies on their way share an eighth of the memory. The core takes an id once, and no deadline beyond the class's own. Ruled out on the way: closing an evicted descriptor under a stream with callbacks due, which left the next connection deaf (events are taken off first), and reading an end of stream beside an error as the end alone.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -236,6 +236,8 @@
   if (error != std::errc() || end != seed.data() + seed.size()) root["seed"].Bad("must be hex digits");
   c.sockets = root["limits"]["sockets"].Small(c.sockets);
   if (c.sockets < 64) root["limits"]["sockets"].Bad("must be at least 64");
+  c.memory_mb = root["limits"]["memory_mb"].Small(c.memory_mb);
+  if (c.memory_mb < 16) root["limits"]["memory_mb"].Bad("must be at least 16");
   if (const Field known = root["known"]; known.present()) {
     try {
       NameTableMessage message = DecodeNameTable(known.json());
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -33,6 +33,7 @@
   std::optional<Endpoint> discovery;
   std::uint64_t seed = 0;
   int sockets = 1024;
+  int memory_mb = 128;
   std::vector<Instance> known;
   std::uint64_t known_version = 0;
   pulleyrouter::Settings module;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -71,9 +71,11 @@
   }
   const auto [setting, counter] = klass->second;
   ++counters_.classes[counter].taken;
-  const RepeatGuard::Verdict verdict = e.job.guard_repeats
-                                           ? repeats_.Judge(e.job.id, s_.module.classes[setting], now_)
-                                           : RepeatGuard::Verdict::kAdmit;
+  const pulleyrouter::ClassSettings& c = s_.module.classes[setting];
+  const RepeatGuard::Verdict verdict = e.job.guard_repeats ? repeats_.Judge(e.job.id, c, now_)
+                                       : e.job.id.empty() || taken_ids_.Take(e.job.id)
+                                           ? RepeatGuard::Verdict::kAdmit
+                                           : RepeatGuard::Verdict::kNever;
   if (verdict != RepeatGuard::Verdict::kAdmit) {
     const bool never = verdict == RepeatGuard::Verdict::kNever;
     ++counters_.repeats_barred;
@@ -90,7 +92,8 @@
   r.taken = now_;
   // A tenth at most, or a client in a hurry would get no try at all.
   const Micros margin = std::min(s_.answer_margin, e.job.time_left / 10);
-  r.deadline = now_ + e.job.time_left - margin;
+  // Nobody waits longer than its class allows, whatever it says: such a request would sit on what others need.
+  r.deadline = now_ + std::min(e.job.time_left, c.deadline) - margin;
   if (e.job.guard_repeats) repeats_.Begin(e.job.id);
   r.job = std::make_shared<const Job>(std::move(e.job));
   by_client_[r.client] = number;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -113,6 +113,7 @@
   };
   std::unordered_map<std::string, Class> class_of_;
   RepeatGuard repeats_;
+  TakenIds taken_ids_;
   Counters counters_;
 };
 
--- a/src/core/repeat_guard.h
+++ b/src/core/repeat_guard.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "core/types.h"
 
@@ -67,6 +68,27 @@
   std::deque<std::string> order_;
 };
 
+// Ids that are new with every request: one that comes again is somebody else's. Bounded by number, which at the
+// platform's rates is many times the longest deadline.
+class TakenIds {
+ public:
+  explicit TakenIds(std::size_t most = 20'000) : most_(most) {}
+  // False if it was taken before.
+  bool Take(const std::string& id) {
+    if (!ids_.insert(id).second) return false;
+    order_.push_back(id);
+    if (order_.size() <= most_) return true;
+    ids_.erase(order_.front());
+    order_.pop_front();
+    return true;
+  }
+
+ private:
+  std::size_t most_;
+  std::unordered_set<std::string> ids_;
+  std::deque<std::string> order_;
+};
+
 }  // namespace aldersill
 
 #endif  // ALDERSILL_SRC_CORE_REPEAT_GUARD_H_
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <stdexcept>
-#include <unordered_set>
 #include <utility>
 
 #include "log/log.h"
@@ -55,10 +54,12 @@
   return s;
 }
 
-std::unordered_set<std::string> ClassNames(const Config& c) {
-  std::unordered_set<std::string> names;
-  for (const auto& klass : c.module.classes) names.insert(klass.name);
-  return names;
+ClientFrontSettings ForClients(const Config& c) {
+  ClientFrontSettings s;
+  for (const auto& klass : c.module.classes) s.keyed[klass.name] = klass.repeat == pulleyrouter::Repeat::kKeyed;
+  s.most_connections = static_cast<std::size_t>(Shares(c).clients);
+  s.most_bytes = (static_cast<std::size_t>(c.memory_mb) << 20) / 8;
+  return s;
 }
 
 // Precise timers: epoll's own wait is in whole milliseconds, rounded up. No cached time: a wait counted from
@@ -83,8 +84,7 @@
                                               shares.instances, this);
   if (config_.discovery)
     discovery_ = std::make_unique<Discovery>(base_.get(), *config_.discovery, config_.known_version, this);
-  clients_ =
-      std::make_unique<ClientFront>(base_.get(), config_.listen, ClassNames(config_), shares.clients, this);
+  clients_ = std::make_unique<ClientFront>(base_.get(), config_.listen, ForClients(config_), this);
   if (config_.faktory) faktory_ = std::make_unique<faktory::Front>(base_.get(), ForFaktory(config_), this);
   if (config_.snmp) {
     snmp_ = std::make_unique<snmp::Agent>(base_.get(), *config_.snmp, &reducer_.counters());
@@ -165,7 +165,7 @@
     next = ReadConfig(&config_);
     if (next.snmp.has_value() != config_.snmp.has_value() || (next.snmp && !(*next.snmp == *config_.snmp)))
       throw ConfigError("snmp cannot change while the program runs");
-    if (!(next.listen == config_.listen)) http_door = ListenOn(base_.get(), next.listen, "listen", nullptr, nullptr);
+    if (!(next.listen == config_.listen)) http_door = clients_->Open(next.listen);
     if (faktory_ != nullptr && next.faktory && !(config_.faktory && *next.faktory == *config_.faktory))
       faktory_door = faktory_->Open(*next.faktory);
     if (faktory_ == nullptr && next.faktory)
@@ -181,7 +181,7 @@
   const Shares shares(next);
   config_ = std::move(next);
   instances_->Adopt(config_.dial_timeout, config_.conn_idle, shares.instances);
-  clients_->Adopt(ClassNames(config_), shares.clients, std::move(http_door));
+  clients_->Adopt(ForClients(config_), std::move(http_door));
   if (config_.faktory) faktory_->Adopt(ForFaktory(config_), std::move(faktory_door));
   if (!config_.faktory && faktory_ != nullptr) faktory_->Close();
   Tell(SettingsChanged{std::move(core)});
--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -1,260 +1,377 @@
 #include "http/client_front.h"
 
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <ctime>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "core/text.h"
-#include "http/codec.h"
+#include "http/request_reader.h"
 #include "log/log.h"
 
 namespace aldersill {
 namespace {
 
-constexpr std::size_t kMostBody = 64 * 1024;
-constexpr std::size_t kMostHeaders = 16 * 1024;
-constexpr int kIdleSeconds = 120;
+// A kept connection may stand idle for so long, but a request that has begun, or the first on a connection, must
+// come whole within kArrival: a peer that sends half of one must not keep a descriptor.
+constexpr Micros kIdle = 120 * kSecond;
+constexpr Micros kArrival = 2'400 * kMillisecond;
+// A peer that does not read its answer is let go.
+constexpr timeval kWriteWithin = {10, 0};
+// An error may come while the peer still sends. Closing at once would reset the connection and lose it, so what
+// comes is thrown away for a while, up to what the largest honest mistake holds.
+constexpr Micros kLinger = 3 * kSecond;
+constexpr std::size_t kLingerBytes = 96 << 20;
+constexpr std::size_t kLingerGulp = 1 << 20;
+constexpr std::size_t kReadAhead = 16 * 1024;
+// Bodies this small are taken even where memory is short: those of usual clients are.
+constexpr std::size_t kSmall = 4 * 1024;
+// A newcomer's request is on its way; one that comes in pieces may take a little longer.
+constexpr Micros kFresh = 60 * kMillisecond;
+constexpr Micros kPieces = 500 * kMillisecond;
+constexpr Micros kLookForRoomEvery = 20 * kMillisecond;
 constexpr Micros kNewcomerGrace = 600 * kMillisecond;
-constexpr Micros kPruneEvery = 50 * kMillisecond;
+constexpr Micros kCloseEvery = 20 * kMillisecond;
+constexpr Micros kBusyAdvice = 500 * kMillisecond;
 
-std::string Header(evhttp_request* request, const char* name) {
-  const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
-  return value != nullptr ? value : "";
+const char* ReasonOf(int code) {
+  switch (code) {
+    case 200:
+      return "OK";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Request Entity Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Bad Request";
+  }
 }
 
-Job DecodeJob(evhttp_request* request, const std::unordered_set<std::string>& classes) {
-  Job job;
-  job.id = Header(request, "Req-Id");
-  job.klass = Header(request, "Req-Kind");
-  job.tenant = Header(request, "Req-Owner");
-  job.idempotency_key = Header(request, "Idempotency-Key");
-  job.target = evhttp_request_get_uri(request);
-  job.content_type = Header(request, "Content-Type");
-  job.is_retry = Header(request, "Req-Retry") == "1";
-  if (job.id.empty()) throw BadMessage("Req-Id is missing");
-  if (job.target.empty() || job.target.front() != '/') throw BadMessage("the path must begin with /");
-  const std::string path = job.target.substr(0, job.target.find('?'));
-  const std::string first = path.substr(1, path.find('/', 1) - 1);
-  if (job.klass.empty()) job.klass = first;
-  if (!classes.contains(job.klass)) throw BadMessage("Req-Kind names no class");
-  if (first != job.klass) throw BadMessage("Req-Kind is not the path's first part");
-  job.time_left = DecodeDeadline(Header(request, "Req-Deadline"));
-  job.subject = DecodeSubject(path, job.klass);
-  DecodeExtras(Header(request, "Req-Extra"), &job);
-  if (const std::string cost = Header(request, "Req-Cost"); !cost.empty()) job.work = DecodeDeadline(cost);
-  evbuffer* body = evhttp_request_get_input_buffer(request);
-  job.body.resize(evbuffer_get_length(body));
-  evbuffer_copyout(body, job.body.data(), job.body.size());
-  return job;
+std::string DateNow() {
+  const std::time_t now = std::time(nullptr);
+  std::tm parts{};
+  gmtime_r(&now, &parts);
+  char text[64];
+  return {text, std::strftime(text, sizeof(text), "%a, %d %b %Y %H:%M:%S GMT", &parts)};
 }
 
 }  // namespace
 
-struct ClientFront::Held {
-  ClientFront* front = nullptr;
-  std::uint64_t client = 0;
-  evhttp_request* request = nullptr;
-  evhttp_connection* connection = nullptr;
-  EventPtr<event>
-      peer_closed;  // evhttp reads nothing while a request is held: this notices a client that goes
+class ClientFront::Connection {
+ public:
+  Connection(ClientFront* front, evutil_socket_t fd)
+      : front_(front),
+        stream_(bufferevent_socket_new(front->base_, fd, BEV_OPT_DEFER_CALLBACKS)),
+        timer_(front->base_, [this] { OnTimer(); }) {
+    bufferevent_setcb(stream_.get(), &Connection::OnRead, &Connection::OnWritten, &Connection::OnEvent, this);
+    bufferevent_setwatermark(stream_.get(), EV_READ, 0, kReadAhead);
+    bufferevent_set_timeouts(stream_.get(), nullptr, &kWriteWithin);
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+    timer_.Set(kArrival);
+  }
+  ~Connection() {
+    front_->unfinished_bytes_ -= counted_;
+    rest_.reset();
+    const evutil_socket_t fd = bufferevent_getfd(stream_.get());
+    // A callback that is still due holds the stream: its events must not be left on a descriptor that the next
+    // connection gets.
+    bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
+    stream_.reset();
+    // At once: libevent's own close waits for the loop's next round, and a burst would go over the limit.
+    evutil_closesocket(fd);
+  }
+
+  // How gladly it is spared for a newcomer, and since when: the least of all goes first. Nothing for one that has
+  // a request in hand.
+  enum class Spare { kTold, kSilent, kIdle, kHalfway, kNever };
+  using Spareness = std::pair<Spare, Micros>;
+  // Only one that would go before `least` is looked at closely: the kernel is asked about few.
+  Spareness Judge(Micros now, Spareness least) const {
+    if (state_ == State::kLingering) return {Spare::kTold, since_};
+    const bool stuck = state_ == State::kWriting && now - since_ > kSecond;  // reads no answer
+    const bool halfway = state_ == State::kReading && reader_.begun() && now - begun_ > kPieces;
+    if (stuck || halfway) return {Spare::kHalfway, since_};
+    if (state_ != State::kReading || reader_.begun() || now - since_ < kFresh) return {Spare::kNever, 0};
+    const Spareness quiet{served_ > 0 ? Spare::kIdle : Spare::kSilent, since_};
+    return quiet < least && Unread() ? Spareness{Spare::kNever, 0} : quiet;
+  }
+  // Whether a drain may close it: a request on its way would be lost, though one that crosses the close is sent
+  // again elsewhere.
+  bool Idle(Micros drain_began) const {
+    // One that came after the signal is about to send its request; it is closed with its answer.
+    if (since_ >= drain_began && served_ == 0 && SteadyNow() - since_ < kNewcomerGrace) return false;
+    return state_ == State::kReading && !Unread();
+  }
+
+  void Reply(const FinalAnswer& answer) {
+    if (const auto* served = std::get_if<Served>(&answer)) return Write(200, served->result);
+    if (const auto* nack = std::get_if<Nack>(&answer))
+      return Write(503, "refused: trying again is harmless\n",
+                   "Retry-After: " + DecimalSeconds(nack->retry_after) + "\r\n");
+    switch (std::get<Failure>(answer).why) {
+      case Failure::Why::kTooLate:
+        return Write(504, "no answer in time: it may have run\n");
+      case Failure::Why::kRepeat:
+        return Write(409, "a repeat that its class forbids\n");
+      case Failure::Why::kFailed:
+        return Write(502, "failed: it may have run\n");
+    }
+  }
+
+  std::uint64_t client() const { return client_; }  // 0 without a request in hand
+
+ private:
+  enum class State { kReading, kHeld, kWriting, kLingering };
+
+  bool Unread() const {
+    int unread = 0;
+    return reader_.begun() || evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0 ||
+           (ioctl(bufferevent_getfd(stream_.get()), FIONREAD, &unread) == 0 && unread > 0);
+  }
+
+  static void OnRead(bufferevent*, void* arg) {
+    auto* c = static_cast<Connection*>(arg);
+    if (c->state_ == State::kReading) c->Read();  // else it waits: one request at a time
+  }
+  static void OnWritten(bufferevent* stream, void* arg) {
+    auto* c = static_cast<Connection*>(arg);
+    if (evbuffer_get_length(bufferevent_get_output(stream)) > 0) return;
+    if (c->state_ == State::kWriting) c->Written();
+  }
+  static void OnEvent(bufferevent*, short what, void* arg) {
+    auto* c = static_cast<Connection*>(arg);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0) return;
+    // One that has ended its sending, with an answer on its way, still reads that.
+    if ((what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0 && c->state_ == State::kWriting) {
+      c->last_ = true;
+      return;
+    }
+    c->front_->Remove(c);
+  }
+
+  void OnTimer() {
+    if (state_ == State::kLingering || (state_ == State::kReading && !reader_.begun())) return front_->Remove(this);
+    if (state_ == State::kReading) Refuse(408, "the request has not come whole in time\n");
+  }
+
+  void Read() {
+    evbuffer* input = bufferevent_get_input(stream_.get());
+    while (state_ == State::kReading) {
+      const std::size_t size = evbuffer_get_contiguous_space(input);
+      if (size == 0) return;
+      // The time counts from a request's first byte, not anew with each.
+      if (!reader_.begun()) {
+        begun_ = SteadyNow();
+        if (served_ > 0) timer_.Set(kArrival);
+      }
+      const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+      try {
+        evbuffer_drain(input, reader_.Read({bytes, size}));
+        Count(reader_.whole() ? 0 : reader_.held());
+        if (reader_.WantsContinue()) bufferevent_write(stream_.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25);
+        if (reader_.whole()) Take();
+      } catch (const BadRequest& e) {
+        return Refuse(e.code, std::string(e.what()) + "\n");
+      }
+    }
+  }
+
+  // What has come of a request that is not whole counts against what all of them may hold.
+  void Count(std::size_t bytes) {
+    front_->unfinished_bytes_ += bytes - counted_;
+    counted_ = bytes;
+    if (front_->unfinished_bytes_ > front_->s_.most_bytes && bytes > kSmall)
+      throw BadRequest(503, "no room for so large a request now");
+  }
+
+  void Take() {
+    timer_.Clear();
+    ++served_;
+    keep_ = reader_.keep_alive();
+    HttpRequest request = std::move(reader_.request());
+    head_only_ = request.method == "HEAD";
+    if (request.target == "/-/ready" && request.method == "GET") return Write(200, "ready\n");
+    if (request.method != "POST") return Write(405, "jobs come by POST\n", "Allow: POST\r\n");
+    Job job;
+    try {
+      job = DecodeJob(std::move(request), front_->s_.keyed);
+    } catch (const BadMessage& e) {
+      return Write(400, std::string(e.what()) + "\n");
+    }
+    state_ = State::kHeld;
+    client_ = front_->next_++;
+    front_->held_.emplace(client_, this);
+    front_->sink_->Tell(RequestTaken{{ClientRef::Front::kHttp, client_}, std::move(job)});
+  }
+
+  // An answer after which nothing more can be read off this connection.
+  void Refuse(int code, const std::string& text) {
+    keep_ = false;
+    Count(0);
+    Write(code, text, code == 503 ? "Retry-After: " + DecimalSeconds(kBusyAdvice) + "\r\n" : "");
+  }
+
+  void Write(int code, const std::string& body, const std::string& headers = "") {
+    client_ = 0;
+    state_ = State::kWriting;
+    since_ = SteadyNow();
+    last_ = last_ || !keep_ || front_->drain_began_ != 0;
+    std::string text = "HTTP/1.1 " + std::to_string(code) + " " + ReasonOf(code) + "\r\n";
+    if (last_) text += "Connection: close\r\n";
+    text += headers + "Content-Type: text/plain; charset=utf-8\r\nDate: " + DateNow() +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (!head_only_) text += body;
+    bufferevent_write(stream_.get(), text.data(), text.size());
+  }
+
+  void Written() {
+    since_ = SteadyNow();
+    if (last_) return Linger();
+    state_ = State::kReading;
+    reader_.Reset();
+    timer_.Set(kIdle);
+    Read();  // what was read meanwhile
+  }
+
+  void Linger() {
+    state_ = State::kLingering;
+    const evutil_socket_t fd = bufferevent_getfd(stream_.get());
+    bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
+    shutdown(fd, SHUT_WR);
+    timer_.Set(kLinger);
+    rest_.reset(event_new(front_->base_, fd, EV_READ | EV_PERSIST, &Connection::OnRest, this));
+    event_add(rest_.get(), nullptr);
+  }
+
+  static void OnRest(evutil_socket_t fd, short, void* arg) {
+    auto* c = static_cast<Connection*>(arg);
+    // The kernel lets go of the bytes without handing them over.
+    const ssize_t size = recv(fd, nullptr, kLingerGulp, MSG_TRUNC | MSG_DONTWAIT);
+    if (size < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (size > 0 && (c->thrown_away_ += static_cast<std::size_t>(size)) < kLingerBytes) return;
+    c->front_->Remove(c);
+  }
+
+  ClientFront* front_;
+  EventPtr<bufferevent> stream_;
+  EventPtr<event> rest_;  // after the last answer: freed before the stream closes the descriptor
+  Timer timer_;
+  RequestReader reader_;
+  State state_ = State::kReading;
+  Micros since_ = SteadyNow();  // accepted, or last answered
+  Micros begun_ = 0;            // its request's first byte came
+  std::uint64_t client_ = 0;
+  std::uint64_t served_ = 0;
+  std::size_t counted_ = 0;
+  std::size_t thrown_away_ = 0;
+  bool keep_ = false;
+  bool last_ = false;  // this answer, or the next, ends the connection
+  bool head_only_ = false;
 };
 
-ClientFront::ClientFront(event_base* base, const Endpoint& listen, std::unordered_set<std::string> classes,
-                         int most_connections, EventSink* sink)
+ClientFront::ClientFront(event_base* base, const Endpoint& listen, ClientFrontSettings settings, EventSink* sink)
     : base_(base),
-      classes_(std::move(classes)),
-      most_connections_(static_cast<std::size_t>(most_connections)),
+      s_(std::move(settings)),
       sink_(sink),
-      server_(evhttp_new(base)) {
-  evhttp_set_allowed_methods(
-      server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
-  evhttp_set_max_body_size(server_.get(), kMostBody);
-  evhttp_set_max_headers_size(server_.get(), kMostHeaders);
-  evhttp_set_timeout(server_.get(), kIdleSeconds);
-  evhttp_set_bevcb(server_.get(), &ClientFront::OnAccept, this);
-  evhttp_set_gencb(server_.get(), &ClientFront::OnRequest, this);
-  listener_ = ListenOn(base, listen, "listen", nullptr, nullptr).release();
-  bound_ = evhttp_bind_listener(server_.get(), listener_);
-  prune_timer_ = std::make_unique<Timer>(base_, [this] {
-    Prune();
-    if (draining_) CloseIdle();
-    if (connections_.size() < most_connections_) evconnlistener_enable(listener_);
-    if (draining_ || connections_.size() >= most_connections_) prune_timer_->Set(kPruneEvery);
-  });
-}
+      listener_(Open(listen)),
+      drain_timer_(base, [this] { CloseIdle(); }),
+      room_timer_(base, [this] { MindTheDoor(); }) {}
+ClientFront::~ClientFront() = default;
 
-ClientFront::~ClientFront() {
-  for (auto& [client, held] : held_) evhttp_connection_set_closecb(held->connection, nullptr, nullptr);
-  held_.clear();
-  server_.reset();
-  for (const Connection& c : connections_) bufferevent_decref(c.stream);
+EventPtr<evconnlistener> ClientFront::Open(const Endpoint& listen) {
+  return ListenOn(base_, listen, "listen", &ClientFront::OnAccept, this);
 }
 
-void ClientFront::Adopt(std::unordered_set<std::string> classes, int most_connections,
-                        EventPtr<evconnlistener> listener) {
-  classes_ = std::move(classes);
-  most_connections_ = static_cast<std::size_t>(most_connections);
-  if (listener == nullptr) return;
-  evhttp_del_accept_socket(server_.get(), bound_);
-  listener_ = listener.release();
-  bound_ = evhttp_bind_listener(server_.get(), listener_);
+void ClientFront::Adopt(ClientFrontSettings settings, EventPtr<evconnlistener> listener) {
+  s_ = std::move(settings);
+  if (listener != nullptr) listener_ = std::move(listener);
+  MindTheDoor();
 }
 
-int ClientFront::port() const { return PortOf(evconnlistener_get_fd(listener_)); }
+int ClientFront::port() const { return PortOf(evconnlistener_get_fd(listener_.get())); }
 
-bufferevent* ClientFront::OnAccept(event_base* base, void* self) {
+void ClientFront::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
   auto* front = static_cast<ClientFront*>(self);
-  // Without BEV_OPT_CLOSE_ON_FREE evhttp closes the socket as it lets go, whatever references are left.
-  bufferevent* connection = bufferevent_socket_new(base, -1, 0);
-  if (connection == nullptr) return nullptr;
-  bufferevent_incref(connection);
-  front->Prune();
   front->last_accept_ = SteadyNow();
-  front->connections_.push_back({connection, front->last_accept_});
-  if (front->connections_.size() >= front->most_connections_) {
-    // The rest waits in the listen queue: instance links need the other descriptors.
-    evconnlistener_disable(front->listener_);
-    front->prune_timer_->Set(kPruneEvery);
-    Log("%zu client connections: accepting no more for now", front->connections_.size());
-  }
-  return connection;
+  auto connection = std::make_unique<Connection>(front, fd);
+  Connection* raw = connection.get();
+  front->connections_.emplace(raw, std::move(connection));
+  front->MindTheDoor();
 }
 
-void ClientFront::Prune() {
-  for (auto at = connections_.begin(); at != connections_.end();) {
-    // evhttp has no read callback while it writes an answer; the event callback goes only as it lets go.
-    bufferevent_event_cb event = nullptr;
-    bufferevent_getcb(at->stream, nullptr, nullptr, &event, nullptr);
-    if (event != nullptr) {
-      ++at;
-      continue;
-    }
-    bufferevent_decref(at->stream);
-    at = connections_.erase(at);
+bool ClientFront::MakeRoom() {
+  using Spare = Connection::Spare;
+  const Micros now = SteadyNow();
+  Connection* best = nullptr;
+  Connection::Spareness least{Spare::kNever, 0};
+  for (const auto& [connection, owned] : connections_) {
+    const auto spareness = connection->Judge(now, least);
+    if (spareness >= least) continue;
+    least = spareness;
+    best = connection;
   }
+  if (best == nullptr) return false;
+  Remove(best);
+  return true;
 }
 
-void ClientFront::OnRequest(evhttp_request* request, void* self) {
-  static_cast<ClientFront*>(self)->Take(request);
-}
-
-void ClientFront::Take(evhttp_request* request) {
-  const std::string path = evhttp_request_get_uri(request);
-  if (path == "/-/ready" && evhttp_request_get_command(request) == EVHTTP_REQ_GET)
-    return Send(request, 200, "OK", "ready\n");
-  Job job;
-  try {
-    if (evhttp_request_get_command(request) != EVHTTP_REQ_POST) {
-      evhttp_add_header(evhttp_request_get_output_headers(request), "Allow", "POST");
-      return Send(request, 405, "Method Not Allowed", "jobs come by POST\n");
-    }
-    job = DecodeJob(request, classes_);
-  } catch (const BadMessage& e) {
-    return Send(request, 400, "Bad Request", std::string(e.what()) + "\n");
+// Where nobody can be spared, newcomers wait in the listen queue: instance links need the other descriptors.
+void ClientFront::MindTheDoor() {
+  if (connections_.size() < s_.most_connections || MakeRoom()) {
+    evconnlistener_enable(listener_.get());
+    return;
   }
-  const std::uint64_t client = next_++;
-  auto held = std::make_unique<Held>();
-  evhttp_connection* connection = evhttp_request_get_connection(request);
-  bufferevent* bev = evhttp_connection_get_bufferevent(connection);
-  held->front = this;
-  held->client = client;
-  held->request = request;
-  held->connection = connection;
-  held->peer_closed.reset(
-      event_new(base_, bufferevent_getfd(bev), EV_CLOSED, &ClientFront::OnPeerClosed, held.get()));
-  event_add(held->peer_closed.get(), nullptr);
-  evhttp_connection_set_closecb(connection, &ClientFront::OnClosed, held.get());
-  held_on_[bev] = client;
-  held_.emplace(client, std::move(held));
-  sink_->Tell(RequestTaken{{ClientRef::Front::kHttp, client}, std::move(job)});
-}
-
-void ClientFront::OnPeerClosed(evutil_socket_t, short, void* arg) {
-  auto* held = static_cast<Held*>(arg);
-  // Frees the request as well and calls OnClosed.
-  evhttp_connection_free(held->connection);
-}
-
-void ClientFront::OnClosed(evhttp_connection*, void* arg) {
-  auto* held = static_cast<Held*>(arg);
-  ClientFront* front = held->front;
-  const std::uint64_t client = held->client;
-  front->Release(client);
-  front->sink_->Tell(ClientLeft{{ClientRef::Front::kHttp, client}});
+  Log("%zu client connections, %zu with a request in hand: accepting no more for now", connections_.size(),
+      held_.size());
+  evconnlistener_disable(listener_.get());
+  room_timer_.Set(kLookForRoomEvery);
 }
 
-void ClientFront::Release(std::uint64_t client) {
-  const auto found = held_.find(client);
-  evhttp_connection* connection = found->second->connection;
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
-  held_on_.erase(evhttp_connection_get_bufferevent(connection));
-  held_.erase(found);
+void ClientFront::Remove(Connection* connection) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) return;
+  const std::unique_ptr<Connection> owned = std::move(found->second);
+  connections_.erase(found);
+  const std::uint64_t client = owned->client();
+  if (held_.erase(client) > 0) sink_->Tell(ClientLeft{{ClientRef::Front::kHttp, client}});
 }
 
 void ClientFront::Reply(std::uint64_t client, const FinalAnswer& answer) {
   const auto found = held_.find(client);
   if (found == held_.end()) return;
-  evhttp_request* request = found->second->request;
-  Release(client);
-  if (const auto* served = std::get_if<Served>(&answer)) return Send(request, 200, "OK", served->result);
-  if (const auto* nack = std::get_if<Nack>(&answer)) {
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Retry-After",
-                      DecimalSeconds(nack->retry_after).c_str());
-    return Send(request, 503, "Service Unavailable", "refused: trying again is harmless\n");
-  }
-  switch (std::get<Failure>(answer).why) {
-    case Failure::Why::kTooLate:
-      return Send(request, 504, "Gateway Timeout", "no answer in time: it may have run\n");
-    case Failure::Why::kRepeat:
-      return Send(request, 409, "Conflict", "a repeat that its class forbids\n");
-    case Failure::Why::kFailed:
-      return Send(request, 502, "Bad Gateway", "failed: it may have run\n");
-  }
-}
-
-void ClientFront::Send(evhttp_request* request, int code, const char* reason, const std::string& body) {
-  evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  if (draining_) evhttp_add_header(headers, "Connection", "close");
-  // evhttp's own default is HTML, which neither a result nor an error text is.
-  evhttp_add_header(headers, "Content-Type", "text/plain; charset=utf-8");
-  evbuffer* content = evhttp_request_get_output_buffer(request);
-  evbuffer_add(content, body.data(), body.size());
-  evhttp_send_reply(request, code, reason, nullptr);
+  Connection* connection = found->second;
+  held_.erase(found);
+  connection->Reply(answer);
 }
 
 void ClientFront::BeginDrain() {
-  if (std::exchange(draining_, true)) return;
+  if (drain_began_ != 0) return;
   drain_began_ = last_accept_ = SteadyNow();
   CloseIdle();
-  prune_timer_->Set(kPruneEvery);
 }
 
 void ClientFront::CloseIdle() {
-  Prune();
-  const Micros now = SteadyNow();
-  for (const auto& [connection, accepted] : connections_) {
-    // One that came after the signal is about to send its request; it is closed with its answer.
-    if (accepted >= drain_began_ && now - accepted < kNewcomerGrace) continue;
-    const evutil_socket_t fd = bufferevent_getfd(connection);
-    int unread = 0;
-    const bool idle = fd >= 0 && !held_on_.contains(connection) &&
-                      evbuffer_get_length(bufferevent_get_input(connection)) == 0 &&
-                      evbuffer_get_length(bufferevent_get_output(connection)) == 0 &&
-                      ioctl(fd, FIONREAD, &unread) == 0 && unread == 0;
-    // evhttp reads the end of the stream and lets go. One whose request is on its way sends it again
-    // elsewhere.
-    if (idle) shutdown(fd, SHUT_RDWR);
+  std::vector<Connection*> idle;
+  for (const auto& [connection, owned] : connections_) {
+    if (connection->Idle(drain_began_)) idle.push_back(connection);
   }
+  for (Connection* one : idle) Remove(one);
+  drain_timer_.Set(kCloseEvery);
 }
 
-bool ClientFront::Quiet() {
-  Prune();
-  return held_.empty() && connections_.empty();
-}
-
-Micros ClientFront::SinceLastAccept() const { return SteadyNow() - last_accept_; }
-
 }  // namespace aldersill
--- a/src/http/codec.cpp
+++ b/src/http/codec.cpp
@@ -11,6 +11,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t kMostValue = 1'024;  // of a field that is passed on
+
 Json Parse(std::string_view text) {
   Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!json.is_object()) throw BadMessage("is not a JSON object");
@@ -66,8 +68,60 @@
   return value;
 }
 
+// Of the fields that we read, each may come once: which of two would an instance go by?
+std::string Header(const HttpRequest& request, const char* wanted) {
+  const std::string* found = nullptr;
+  for (const auto& [name, value] : request.headers) {
+    if (LowerCase(name) != wanted) continue;
+    if (found != nullptr) throw BadRequest(400, std::string(wanted) + " comes twice");
+    found = &value;
+  }
+  if (found == nullptr) return "";
+  // Passed on as it came: nothing that an instance could not read.
+  const auto visible = [](char c) { return c >= ' ' && c <= '~'; };
+  if (found->size() > kMostValue || !std::all_of(found->begin(), found->end(), visible))
+    throw BadRequest(400, std::string(wanted) + " is too long or not plain text");
+  return *found;
+}
+
 }  // namespace
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  for (char& c : lower) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return lower;
+}
+
+Job DecodeJob(HttpRequest request, const std::unordered_map<std::string, bool>& keyed) {
+  Job job;
+  job.id = Header(request, "req-id");
+  job.klass = Header(request, "req-kind");
+  job.tenant = Header(request, "req-owner");
+  job.idempotency_key = Header(request, "idempotency-key");
+  job.content_type = Header(request, "content-type");
+  job.is_retry = Header(request, "req-retry") == "1";
+  job.target = std::move(request.target);
+  if (job.id.empty()) throw BadRequest(400, "Req-Id is missing");
+  if (job.target.empty() || job.target.front() != '/') throw BadRequest(400, "the path must begin with /");
+  if (!std::all_of(job.target.begin(), job.target.end(), [](char c) { return c > ' ' && c <= '~'; }))
+    throw BadRequest(400, "the path is not plain text");
+  const std::string path = job.target.substr(0, job.target.find_first_of("?#"));
+  const std::string first = path.substr(1, path.find('/', 1) - 1);
+  if (job.klass.empty()) job.klass = first;
+  const auto klass = keyed.find(job.klass);
+  if (klass == keyed.end()) throw BadRequest(400, "Req-Kind names no class");
+  if (first != job.klass) throw BadRequest(400, "Req-Kind is not the path's first part");
+  if (klass->second && job.idempotency_key.empty()) throw BadRequest(400, "Idempotency-Key is missing");
+  job.time_left = DecodeDeadline(Header(request, "req-deadline"));
+  job.subject = DecodeSubject(path, job.klass);
+  DecodeExtras(Header(request, "req-extra"), &job);
+  if (const std::string cost = Header(request, "req-cost"); !cost.empty()) job.work = DecodeDeadline(cost);
+  job.body = std::move(request.body);
+  return job;
+}
+
 NameTableMessage DecodeNameTable(const Json& json) {
   if (!json.is_object()) throw BadMessage("is not a JSON object");
   NameTableMessage message;
--- a/src/http/codec.h
+++ b/src/http/codec.h
@@ -8,6 +8,8 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/types.h"
@@ -20,6 +22,23 @@
   using std::runtime_error::runtime_error;
 };
 
+// A request of a service client's that is answered with this code, and goes no further.
+class BadRequest : public BadMessage {
+ public:
+  BadRequest(int status, const std::string& what) : BadMessage(what), code(status) {}
+  const int code;
+};
+
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  std::vector<std::pair<std::string, std::string>> headers;  // as they came
+  std::string body;
+};
+std::string LowerCase(std::string_view text);
+// Throws BadRequest. `keyed`: by class, whether its jobs carry a key.
+Job DecodeJob(HttpRequest request, const std::unordered_map<std::string, bool>& keyed);
+
 struct NameTableMessage {
   std::uint64_t version = 0;
   bool full = false;
--- a/tests/daemon/lifecycle_test.cpp
+++ b/tests/daemon/lifecycle_test.cpp
@@ -129,31 +129,22 @@
                                  {"state", "SERVING"}}};
   DaemonUnderTest daemon(config, nlohmann::json::object());
   player.AddDoor("http", daemon.ports().at("http"));
-  const std::string request =
-      "| POST /cobro HTTP/1.1\n| Req-Id: r1\n| Req-Kind: cobro\n| Req-Deadline: 9000m\n"
-      "| Content-Length: 0\n|\n";
-  const std::string answer =
-      "send x\n| HTTP/1.1 200 OK\n| Content-Length: {length}\n|\n"
-      "|- {\"id\":\"r1\",\"state\":\"done\",\"result\":\"ok\"}\\n\n";
   const std::string closing =
       "| HTTP/1.1 200 OK\n| Connection: close\n| Content-Type: {*}\n| Date: {*}\n"
       "| Content-Length: 2\n|\n|- ok\n";
-  const std::string passed_on =
-      "expect x\n| POST /cobro HTTP/1.1\n| Host: {*}\n| Req-Id: r1\n| Req-Kind: cobro\n"
-      "| Req-Deadline: {*}\n| Content-Length: 0\n|\n";
   CHECK(
       player.Play("connect idle http\nsend idle\n| GET /-/ready HTTP/1.1\n|\n"
                   "expect idle\n| HTTP/1.1 200 OK\n| Content-Type: {*}\n| Date: {*}\n| Content-Length: 6\n|\n"
                   "|- ready\\n\n") == "");
-  CHECK(player.Play("connect c http\nsend c\n" + request + "accept x w1\n" + passed_on) == "");
+  CHECK(player.Play(Ask("c", "cobro", "r1") + "accept x w1\n" + Run("x", "cobro", "r1")) == "");
   daemon.Signal(SIGTERM);
   // An idle connection is closed between requests; the held one is answered; a newcomer is still taken.
   CHECK(player.Play("expect-end idle\n") == "");
   daemon.Stop();  // so that it cannot end before the newcomer is there, however slow the machine
-  CHECK(player.Play(answer + "connect n http\nsend n\n" + request) == "");
+  CHECK(player.Play(Done("x", "r1") + Ask("n", "cobro", "r2")) == "");
   daemon.Signal(SIGCONT);
-  CHECK(player.Play("expect c\n" + closing + "expect-end c\n" + passed_on + answer + "expect n\n" + closing +
-                    "expect-end n\n") == "");
+  CHECK(player.Play("expect c\n" + closing + "expect-end c\n" + Run("x", "cobro", "r2") + Done("x", "r2") +
+                    "expect n\n" + closing + "expect-end n\n") == "");
   CHECK(daemon.Wait() == 0);
 }
 
