Give the decision module, the loop and the list's codec folders of their own

Need: src/ should read as a list of parts, and src/http and src/config included each other (Endpoint one way, the list's codec the other).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,7 +1,5 @@
 #include "config/config.h"
 
-#include <arpa/inet.h>
-
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
@@ -9,7 +7,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
-#include "http/codec.h"
+#include "name_table/codec.h"
+#include "net/json_message.h"
 
 namespace aldersill {
 namespace {
@@ -186,9 +185,15 @@
   return written.empty() || written == *was ? held : written;
 }
 
+Endpoint ReadEndpoint(const std::string& text, const std::string& field) {
+  const std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  if (!endpoint) throw ConfigError(field + " must be address:port, not '" + text + "'");
+  return *endpoint;
+}
+
 std::optional<Endpoint> ReadLocalFront(const Field& f) {
   if (!f["enabled"].Bool(false)) return std::nullopt;
-  const Endpoint endpoint = ParseEndpoint(f["listen"].Text(), f["listen"].path());
+  const Endpoint endpoint = ReadEndpoint(f["listen"].Text(), f["listen"].path());
   // Neither wire has a say in who may speak to it: both stay on this machine.
   if (!IsLoopback(endpoint)) f["listen"].Bad("must be a loopback address");
   return endpoint;
@@ -196,40 +201,21 @@
 
 }  // namespace
 
-Endpoint ParseEndpoint(const std::string& text, const std::string& field) {
-  const std::size_t colon = text.rfind(':');
-  Endpoint endpoint;
-  if (colon == std::string::npos) throw ConfigError(field + " must be address:port, not '" + text + "'");
-  endpoint.host = text.substr(0, colon);
-  const char* first = text.data() + colon + 1;
-  const char* last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(first, last, endpoint.port);
-  in_addr parsed{};
-  if (error != std::errc() || end != last || first == last ||
-      inet_pton(AF_INET, endpoint.host.c_str(), &parsed) != 1)
-    throw ConfigError(field + " must be address:port, not '" + text + "'");
-  return endpoint;
-}
-
-bool IsLoopback(const Endpoint& endpoint) { return endpoint.host.starts_with("127."); }
-bool operator==(const Endpoint& a, const Endpoint& b) { return a.host == b.host && a.port == b.port; }
-
 Config ReadConfig(const Config* before) {
   const std::string path = Env("GW_CONFIG", "");
   if (path.empty()) throw ConfigError("GW_CONFIG is not set");
   const Json json = ReadJson(path, "GW_CONFIG");
   const Field root(&json, "");
   Config c;
-  const auto text = [](const Endpoint& e) { return e.host + ":" + std::to_string(e.port); };
   const Config::Written* was = before != nullptr ? &before->written : nullptr;
   c.written = {root["name"].Text("aldersill"), root["listen"].Text(""), root["discovery"].Text("")};
   c.name = ReadTold("GW_NAME", c.written.name, was ? &was->name : nullptr, before ? before->name : "");
-  c.listen = ParseEndpoint(ReadTold("GW_LISTEN", c.written.listen, was ? &was->listen : nullptr,
-                                    before ? text(before->listen) : ""),
-                           "listen");
+  c.listen = ReadEndpoint(ReadTold("GW_LISTEN", c.written.listen, was ? &was->listen : nullptr,
+                                   before ? ToText(before->listen) : ""),
+                          "listen");
   const std::string discovery = ReadTold("GW_DISCOVERY", c.written.discovery, was ? &was->discovery : nullptr,
-                                         before && before->discovery ? text(*before->discovery) : "");
-  if (!discovery.empty()) c.discovery = ParseEndpoint(discovery, "discovery");
+                                         before && before->discovery ? ToText(*before->discovery) : "");
+  if (!discovery.empty()) c.discovery = ReadEndpoint(discovery, "discovery");
   const std::string seed = root["seed"].Text("0");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) root["seed"].Bad("must be hex digits");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/types.h"
+#include "net/endpoint.h"
 #include "pulleyrouter/dispatcher.h"
 
 namespace aldersill {
@@ -19,14 +20,6 @@
   using std::runtime_error::runtime_error;
 };
 
-struct Endpoint {
-  std::string host;  // a numeric address: there is no DNS where the daemon runs
-  std::uint16_t port = 0;
-};
-Endpoint ParseEndpoint(const std::string& text, const std::string& field);
-bool IsLoopback(const Endpoint& endpoint);
-bool operator==(const Endpoint& a, const Endpoint& b);
-
 struct Config {
   std::string name;
   Endpoint listen;
--- a/src/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,4 +1,4 @@
-#include "daemon.h"
+#include "daemon/daemon.h"
 
 #include <signal.h>
 
--- a/src/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,6 @@
 // Wiring: carries out the effects that the reducer asks for and feeds it what fronts, links and timers tell.
-#ifndef ALDERSILL_SRC_DAEMON_H_
-#define ALDERSILL_SRC_DAEMON_H_
+#ifndef ALDERSILL_SRC_DAEMON_DAEMON_H_
+#define ALDERSILL_SRC_DAEMON_DAEMON_H_
 
 #include <deque>
 #include <map>
@@ -10,11 +10,11 @@
 
 #include "config/config.h"
 #include "core/reducer.h"
-#include "event_loop.h"
 #include "faktory/front.h"
 #include "http/client_front.h"
 #include "http/discovery.h"
 #include "http/instance_link.h"
+#include "net/event_loop.h"
 #include "snmp/agent.h"
 
 namespace aldersill {
@@ -66,4 +66,4 @@
 
 }  // namespace aldersill
 
-#endif  // ALDERSILL_SRC_DAEMON_H_
+#endif  // ALDERSILL_SRC_DAEMON_DAEMON_H_
--- a/src/faktory/front.h
+++ b/src/faktory/front.h
@@ -10,10 +10,9 @@
 #include <string>
 #include <unordered_map>
 
-#include "config/config.h"
 #include "core/types.h"
-#include "event_loop.h"
 #include "faktory/codec.h"
+#include "net/event_loop.h"
 
 namespace aldersill::faktory {
 
--- a/src/http/client_front.h
+++ b/src/http/client_front.h
@@ -10,9 +10,8 @@
 #include <string>
 #include <unordered_map>
 
-#include "config/config.h"
 #include "core/types.h"
-#include "event_loop.h"
+#include "net/event_loop.h"
 
 namespace aldersill {
 
--- a/src/http/codec.cpp
+++ b/src/http/codec.cpp
@@ -13,33 +13,6 @@
 
 constexpr std::size_t kMostValue = 1'024;  // of a field that is passed on
 
-Json Parse(std::string_view text) {
-  Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (!json.is_object()) throw BadMessage("is not a JSON object");
-  return json;
-}
-
-std::string Text(const Json& json, const char* name, const char* fallback = nullptr) {
-  const auto found = json.find(name);
-  if (found == json.end() && fallback != nullptr) return fallback;
-  if (found == json.end() || !found->is_string()) throw BadMessage(std::string(name) + " must be a string");
-  return found->get<std::string>();
-}
-
-double Number(const Json& json, const char* name, double fallback) {
-  const auto found = json.find(name);
-  if (found == json.end()) return fallback;
-  if (!found->is_number()) throw BadMessage(std::string(name) + " must be a number");
-  return found->get<double>();
-}
-
-Instance::State DecodeState(const std::string& text) {
-  if (text == "SERVING") return Instance::State::kReady;
-  if (text == "DRAINING") return Instance::State::kDraining;
-  if (text == "DELETED") return Instance::State::kGone;
-  throw BadMessage("state '" + text + "' is unknown");
-}
-
 LoadReport LoadOf(const Json& json) {
   LoadReport load;
   if (!json.is_object()) return load;
@@ -122,56 +95,23 @@
   return job;
 }
 
-NameTableMessage DecodeNameTable(const Json& json) {
-  if (!json.is_object()) throw BadMessage("is not a JSON object");
-  NameTableMessage message;
-  const double version = Number(json, "version", 0.0);
-  if (!(version >= 0.0 && version < 9e15)) throw BadMessage("version is out of range");
-  message.version = static_cast<std::uint64_t>(version);
-  const auto full = json.find("full");
-  if (full != json.end() && !full->is_boolean()) throw BadMessage("full must be true or false");
-  message.full = full != json.end() && full->get<bool>();
-  const auto list = json.find("servers");
-  if (list == json.end() || !list->is_array()) throw BadMessage("servers must be a list");
-  for (const Json& item : *list) {
-    if (!item.is_object()) throw BadMessage("servers must hold objects");
-    Instance entry;
-    entry.name = Text(item, "id");
-    if (entry.name.empty()) throw BadMessage("id must not be empty");
-    entry.state = DecodeState(Text(item, "state"));
-    entry.address = Text(item, "addr", "");
-    if (entry.address.empty() && entry.state != Instance::State::kGone)
-      throw BadMessage("addr must not be empty");
-    entry.zone = Text(item, "zone", "");
-    entry.kind = Text(item, "kind", "");
-    entry.cell = static_cast<int>(std::clamp(Number(item, "cell", 0.0), -1e9, 1e9));
-    entry.weight = Number(item, "weight", 1.0);
-    entry.started =
-        static_cast<Micros>(std::clamp(Number(item, "started_ms", 0.0), 0.0, 9e12)) * kMillisecond;
-    message.instances.push_back(std::move(entry));
-  }
-  return message;
-}
-
-NameTableMessage DecodeNameTable(std::string_view body) { return DecodeNameTable(Parse(body)); }
-
 LoadReport DecodeLoad(std::string_view text) { return LoadOf(Json::parse(text, nullptr, false)); }
 
 ExecutionLine DecodeExecutionLine(std::string_view text, const std::string& request_id) {
   using State = ExecutionLine::State;
-  const Json json = Parse(text);
+  const Json json = ParseObject(text);
   // An answer to something else must never be passed on as the answer to this.
-  if (Text(json, "id") != request_id) throw BadMessage("id is not the request's");
+  if (TextOf(json, "id") != request_id) throw BadMessage("id is not the request's");
   ExecutionLine line;
-  const std::string state = Text(json, "state");
+  const std::string state = TextOf(json, "state");
   if (state == "started") {
     line.state = State::kStarted;
   } else if (state == "running") {
     line.state = State::kRunning;
-    line.share = Number(json, "share", 0.0);
+    line.share = NumberOf(json, "share", 0.0);
   } else if (state == "done") {
     line.state = State::kDone;
-    line.result = Text(json, "result", "");
+    line.result = TextOf(json, "result", "");
   } else if (state == "failed") {
     line.state = State::kFailed;
   } else if (state == "returned") {
--- a/src/http/codec.h
+++ b/src/http/codec.h
@@ -3,9 +3,7 @@
 #define ALDERSILL_SRC_HTTP_CODEC_H_
 
 #include <cstdint>
-#include <nlohmann/json_fwd.hpp>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,15 +11,10 @@
 #include <vector>
 
 #include "core/types.h"
+#include "net/json_message.h"
 
 namespace aldersill {
 
-// A peer's message that makes no sense; the text says what is wrong with it.
-class BadMessage : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 // A request of a service client's that is answered with this code, and goes no further.
 class BadRequest : public BadMessage {
  public:
@@ -39,14 +32,6 @@
 // Throws BadRequest. `keyed`: by class, whether its jobs carry a key.
 Job DecodeJob(HttpRequest request, const std::unordered_map<std::string, bool>& keyed);
 
-struct NameTableMessage {
-  std::uint64_t version = 0;
-  bool full = false;
-  std::vector<Instance> instances;
-};
-NameTableMessage DecodeNameTable(const nlohmann::json& json);
-NameTableMessage DecodeNameTable(std::string_view body);
-
 // The value of Srv-Load. Garbage in it is no report: it must not fail the execution it came with.
 LoadReport DecodeLoad(std::string_view text);
 
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -7,8 +7,9 @@
 #include <string>
 #include <utility>
 
-#include "http/codec.h"
 #include "log/log.h"
+#include "name_table/codec.h"
+#include "net/json_message.h"
 
 namespace aldersill {
 namespace {
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -6,9 +6,8 @@
 #include <memory>
 #include <optional>
 
-#include "config/config.h"
 #include "core/types.h"
-#include "event_loop.h"
+#include "net/event_loop.h"
 
 namespace aldersill {
 
--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -9,9 +9,9 @@
 #include <optional>
 #include <utility>
 
-#include "config/config.h"
 #include "http/codec.h"
 #include "log/log.h"
+#include "net/endpoint.h"
 
 namespace aldersill {
 namespace {
@@ -275,11 +275,9 @@
     Log("%zu instance connections, all busy: none left for %s", connections_.size(), address.c_str());
     return nullptr;
   }
-  sockaddr_in to{};
-  try {
-    to = ToSockaddr(ParseEndpoint(address, "addr"));
-  } catch (const ConfigError& e) {
-    Log("name table: %s", e.what());
+  const std::optional<Endpoint> to = ParseEndpoint(address);
+  if (!to) {
+    Log("name table: addr must be address:port, not '%s'", address.c_str());
     return nullptr;
   }
   EventPtr<bufferevent> stream(
@@ -287,7 +285,7 @@
   if (stream == nullptr) return nullptr;
   auto connection = std::make_unique<Connection>(this, address, std::move(stream));
   Connection* raw = connection.get();
-  if (!raw->Connect(to)) return nullptr;
+  if (!raw->Connect(ToSockaddr(*to))) return nullptr;
   connections_.emplace(raw, std::move(connection));
   return raw;
 }
--- a/src/http/instance_link.h
+++ b/src/http/instance_link.h
@@ -13,7 +13,7 @@
 #include <unordered_map>
 
 #include "core/types.h"
-#include "event_loop.h"
+#include "net/event_loop.h"
 
 namespace aldersill {
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,7 +5,7 @@
 #include <exception>
 
 #include "config/config.h"
-#include "daemon.h"
+#include "daemon/daemon.h"
 
 int main() {
   signal(SIGPIPE, SIG_IGN);  // a peer that went is told by the write's error
--- a/src/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,4 +1,4 @@
-#include "event_loop.h"
+#include "net/event_loop.h"
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
--- a/src/event_loop.h
+++ b/src/net/event_loop.h
@@ -1,6 +1,6 @@
 // What every part that sits on libevent needs: owners for its objects, timers, listeners.
-#ifndef ALDERSILL_SRC_EVENT_LOOP_H_
-#define ALDERSILL_SRC_EVENT_LOOP_H_
+#ifndef ALDERSILL_SRC_NET_EVENT_LOOP_H_
+#define ALDERSILL_SRC_NET_EVENT_LOOP_H_
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -14,8 +14,8 @@
 #include <memory>
 #include <utility>
 
-#include "config/config.h"
 #include "core/types.h"
+#include "net/endpoint.h"
 
 namespace aldersill {
 
@@ -68,4 +68,4 @@
 
 }  // namespace aldersill
 
-#endif  // ALDERSILL_SRC_EVENT_LOOP_H_
+#endif  // ALDERSILL_SRC_NET_EVENT_LOOP_H_
--- a/src/fleet.cpp
+++ b/src/pulleyrouter/fleet.cpp
@@ -1,10 +1,10 @@
-#include "fleet.h"
+#include "pulleyrouter/fleet.h"
 
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
-#include "random.h"
+#include "pulleyrouter/random.h"
 
 namespace pulleyrouter {
 namespace {
--- a/src/fleet.h
+++ b/src/pulleyrouter/fleet.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "pulleyrouter/dispatcher.h"
-#include "state.h"
+#include "pulleyrouter/state.h"
 
 namespace pulleyrouter {
 
--- a/src/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -10,11 +10,11 @@
 #include <unordered_map>
 #include <utility>
 
-#include "fleet.h"
 #include "pulleyrouter/dispatcher.h"
-#include "random.h"
-#include "settings.h"
-#include "state.h"
+#include "pulleyrouter/fleet.h"
+#include "pulleyrouter/random.h"
+#include "pulleyrouter/settings.h"
+#include "pulleyrouter/state.h"
 
 namespace pulleyrouter {
 namespace {
--- a/src/settings.cpp
+++ b/src/pulleyrouter/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "pulleyrouter/settings.h"
 
 #include <cmath>
 #include <stdexcept>
--- a/src/state.h
+++ b/src/pulleyrouter/state.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "pulleyrouter/dispatcher.h"
-#include "random.h"
+#include "pulleyrouter/random.h"
 
 namespace pulleyrouter {
 
--- a/src/wire/codec.cpp
+++ b/src/pulleyrouter_wire/codec.cpp
@@ -1,4 +1,4 @@
-#include "wire/codec.h"
+#include "pulleyrouter_wire/codec.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/wire/codec.h
+++ b/src/pulleyrouter_wire/codec.h
@@ -1,7 +1,7 @@
 // The simulator's wire: lines of tab-separated name=value parts. Reads events, writes actions, decides
 // nothing.
-#ifndef PULLEYROUTER_SRC_WIRE_CODEC_H_
-#define PULLEYROUTER_SRC_WIRE_CODEC_H_
+#ifndef PULLEYROUTER_WIRE_SRC_CODEC_H_
+#define PULLEYROUTER_WIRE_SRC_CODEC_H_
 
 #include <cstdint>
 #include <stdexcept>
@@ -63,4 +63,4 @@
 
 }  // namespace pulleyrouter::wire
 
-#endif  // PULLEYROUTER_SRC_WIRE_CODEC_H_
+#endif  // PULLEYROUTER_WIRE_SRC_CODEC_H_
--- a/src/wire/host.cpp
+++ b/src/pulleyrouter_wire/host.cpp
@@ -1,4 +1,4 @@
-#include "wire/host.h"
+#include "pulleyrouter_wire/host.h"
 
 #include <cstdint>
 #include <exception>
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "wire/codec.h"
+#include "pulleyrouter_wire/codec.h"
 
 namespace pulleyrouter::wire {
 namespace {
--- a/src/wire/host.h
+++ b/src/pulleyrouter_wire/host.h
@@ -1,6 +1,6 @@
 // Runs many isolated dispatchers over one stream of batches.
-#ifndef PULLEYROUTER_SRC_WIRE_HOST_H_
-#define PULLEYROUTER_SRC_WIRE_HOST_H_
+#ifndef PULLEYROUTER_WIRE_SRC_HOST_H_
+#define PULLEYROUTER_WIRE_SRC_HOST_H_
 
 #include <istream>
 #include <ostream>
@@ -13,4 +13,4 @@
 
 }  // namespace pulleyrouter::wire
 
-#endif  // PULLEYROUTER_SRC_WIRE_HOST_H_
+#endif  // PULLEYROUTER_WIRE_SRC_HOST_H_
--- a/src/wire/main.cpp
+++ b/src/pulleyrouter_wire/main.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "wire/host.h"
+#include "pulleyrouter_wire/host.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/snmp/agent.h
+++ b/src/snmp/agent.h
@@ -6,9 +6,8 @@
 #include <functional>
 #include <memory>
 
-#include "config/config.h"
 #include "core/counters.h"
-#include "event_loop.h"
+#include "net/event_loop.h"
 
 namespace aldersill::snmp {
 
--- a/tests/module_size_test.cpp
+++ b/tests/module_size_test.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 TEST(ModuleSize, StaysWithinItsLinesAndColumns) {
-  std::ifstream module(std::string(PULLEYROUTER_SOURCE_DIR) + "/src/policy.cpp");
+  std::ifstream module(std::string(PULLEYROUTER_SOURCE_DIR) + "/src/pulleyrouter/policy.cpp");
   ASSERT_TRUE(module);
   int lines = 0;
   for (std::string line; std::getline(module, line);) {
@@ -22,7 +22,7 @@
   std::ifstream deploy(std::string(PULLEYROUTER_SOURCE_DIR) + "/deploy/balancer.toml");
   bool found = false;
   for (std::string line; std::getline(deploy, line);)
-    found = found || line == "policy = [\"src/policy.cpp\"]";
+    found = found || line == "policy = [\"src/pulleyrouter/policy.cpp\"]";
   EXPECT_TRUE(found);
 }
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -4,8 +4,8 @@
 #include <sstream>
 #include <string>
 
-#include "wire/codec.h"
-#include "wire/host.h"
+#include "pulleyrouter_wire/codec.h"
+#include "pulleyrouter_wire/host.h"
 
 namespace pulleyrouter::wire {
 namespace {
