Read the operator's settings from YAML, add sub-commands and structured logs

Need: what is ours had no one file, no check of unknown fields, no way to try a file without starting, and log lines that no tool could read; Daemon grew by one Do and one ForX for each part. Change: src/config/operator_file holds one table of fields for reading, printing and checking (yaml-cpp); src/cli the sub-commands (CLI11); Log takes an event's name and typed fields (spdlog), as text or JSON; parts register what they offer and are told of reloads in two steps. The old JSON files and ALDERSILL_FRONTS work on.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "config/operator_file.h"
 #include "name_table/codec.h"
 #include "net/json_message.h"
 
@@ -179,8 +180,8 @@
 
 // One of the fields that a variable may go before. `was`, `held`: what the file said when it was last read
 // and what held then; null at the start.
-std::string ReadTold(const char* variable, const std::string& written, const std::string* was,
-                     const std::string& held) {
+std::string ReadToldField(const char* variable, const std::string& written, const std::string* was,
+                          const std::string& held) {
   if (was == nullptr) return Env(variable, written);
   return written.empty() || written == *was ? held : written;
 }
@@ -191,24 +192,16 @@
   return *endpoint;
 }
 
-std::optional<Endpoint> ReadLocalFront(const Field& f) {
-  if (!f["enabled"].Bool(false)) return std::nullopt;
-  const Endpoint endpoint = ReadEndpoint(f["listen"].Text(), f["listen"].path());
-  // Neither wire has a say in who may speak to it: both stay on this machine.
-  if (!IsLoopback(endpoint)) f["listen"].Bad("must be a loopback address");
-  return endpoint;
-}
-
-}  // namespace
-
-Config ReadConfig(const Config* before) {
-  const std::string path = Env("GW_CONFIG", "");
-  if (path.empty()) throw ConfigError("GW_CONFIG is not set");
-  const Json json = ReadJson(path, "GW_CONFIG");
+// `told`: whether variables go before the fields of the same names.
+Config ReadPlatform(const Json& json, const Config* before, bool told) {
   const Field root(&json, "");
   Config c;
   const Config::Written* was = before != nullptr ? &before->written : nullptr;
   c.written = {root["name"].Text("aldersill"), root["listen"].Text(""), root["discovery"].Text("")};
+  const auto ReadTold = [told](const char* variable, const std::string& written, const std::string* then,
+                               const std::string& held) {
+    return told ? ReadToldField(variable, written, then, held) : written;
+  };
   c.name = ReadTold("GW_NAME", c.written.name, was ? &was->name : nullptr, before ? before->name : "");
   c.listen = ReadEndpoint(ReadTold("GW_LISTEN", c.written.listen, was ? &was->listen : nullptr,
                                    before ? ToText(before->listen) : ""),
@@ -244,22 +237,32 @@
   c.dial_timeout = settings["limits"]["dialTimeout"].Whole(c.dial_timeout);
   if (c.dial_timeout <= 0) settings["limits"]["dialTimeout"].Bad("must be positive");
 
-  const std::string fronts_path = Env("ALDERSILL_FRONTS", "");
-  const std::string default_path = "deploy/fronts.json";
-  if (!fronts_path.empty() || std::ifstream(default_path)) {
-    const Json fronts_json = ReadJson(fronts_path.empty() ? default_path : fronts_path, "ALDERSILL_FRONTS");
-    const Field fronts(&fronts_json, "");
-    c.faktory = ReadLocalFront(fronts["faktory"]);
-    c.snmp = ReadLocalFront(fronts["snmp"]);
-    c.fetch_patience = fronts["faktory"]["fetch_patience_ms"].Whole(1'000) * kMillisecond;
-    c.fetch_wait = fronts["faktory"]["fetch_wait_ms"].Whole(2'000) * kMillisecond;
-    c.worker_silence = fronts["faktory"]["worker_silence_ms"].Whole(60'000) * kMillisecond;
-    c.worker_return = fronts["faktory"]["worker_return_ms"].Whole(1'000) * kMillisecond;
-    if (c.worker_return <= 0) fronts["faktory"]["worker_return_ms"].Bad("must be positive");
-    if (c.worker_silence <= 0) fronts["faktory"]["worker_silence_ms"].Bad("must be positive");
-    if (c.fetch_patience <= 0) fronts["faktory"]["fetch_patience_ms"].Bad("must be positive");
-    if (c.fetch_wait <= 0) fronts["faktory"]["fetch_wait_ms"].Bad("must be positive");
+  return c;
+}
+
+}  // namespace
+
+std::string OperatorFilePath() {
+  const std::string told = Env("ALDERSILL_SETTINGS", "");
+  const std::string old = Env("ALDERSILL_FRONTS", "");
+  if (!told.empty() && !old.empty())
+    throw ConfigError("ALDERSILL_SETTINGS and ALDERSILL_FRONTS are both set: the first replaces the second");
+  if (!told.empty() || !old.empty()) return told.empty() ? old : told;
+  for (const char* path : {"deploy/aldersill.yaml", "deploy/fronts.json"}) {
+    if (std::ifstream(path)) return path;
   }
+  return "";
+}
+
+Config ReadPlatformFile(const std::string& path) {
+  return ReadPlatform(ReadJson(path, path), nullptr, false);
+}
+
+Config ReadConfig(const Config* before) {
+  const std::string path = Env("GW_CONFIG", "");
+  if (path.empty()) throw ConfigError("GW_CONFIG is not set");
+  Config c = ReadPlatform(ReadJson(path, "GW_CONFIG"), before, true);
+  if (const std::string own = OperatorFilePath(); !own.empty()) c.own = ReadOperatorFile(own);
   return c;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -1,4 +1,5 @@
-// What the daemon is told at its start: GW_* variables, the platform's configuration and our own fronts file.
+// What the daemon is told at its start: GW_* variables, the platform's configuration and the operator's own
+// file.
 #ifndef ALDERSILL_SRC_CONFIG_CONFIG_H_
 #define ALDERSILL_SRC_CONFIG_CONFIG_H_
 
@@ -8,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "config/operator_settings.h"
 #include "core/types.h"
 #include "net/endpoint.h"
 #include "pulleyrouter/dispatcher.h"
@@ -32,12 +34,7 @@
   pulleyrouter::Settings module;
   std::string module_text;  // the settings as they were written, to tell whether they changed
   Micros dial_timeout = 250 * kMillisecond;
-  std::optional<Endpoint> faktory;  // none: that front is off
-  std::optional<Endpoint> snmp;
-  Micros fetch_patience = 1 * kSecond;
-  Micros fetch_wait = 2 * kSecond;       // how long a FETCH may wait before it gets null
-  Micros worker_silence = 60 * kSecond;  // a Faktory worker not heard of for this long is gone
-  Micros worker_return = kSecond;        // and so is one without a connection for this long
+  OperatorSettings own;  // the operator's own file
   // What the file itself says of the fields that a variable may go before.
   struct Written {
     std::string name, listen, discovery;
@@ -49,6 +46,12 @@
 // before it.
 Config ReadConfig(const Config* before = nullptr);
 
+// The platform's file alone, as check-config reads it: no variable goes before its fields.
+Config ReadPlatformFile(const std::string& path);
+// Where the operator's own settings are read from: ALDERSILL_SETTINGS, else ALDERSILL_FRONTS (its name while
+// it held fronts alone), else deploy/aldersill.yaml or deploy/fronts.json if there is one; empty for none.
+std::string OperatorFilePath();
+
 }  // namespace aldersill
 
 #endif  // ALDERSILL_SRC_CONFIG_CONFIG_H_
--- /dev/null
+++ b/src/config/operator_file.cpp
@@ -0,0 +1,314 @@
+#include "config/operator_file.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <numeric>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "config/config.h"
+
+namespace aldersill {
+namespace {
+
+constexpr std::size_t kMostBytes = 1 << 20;
+
+// Levenshtein's distance, for "did you mean": the registry has no library for it.
+std::size_t EditDistance(const std::string& a, const std::string& b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), std::size_t{0});
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i + 1;
+    for (std::size_t j = 0; j < b.size(); ++j) {
+      const std::size_t changed = diagonal + (a[i] == b[j] ? 0 : 1);
+      diagonal = row[j + 1];
+      row[j + 1] = std::min({changed, row[j] + 1, row[j + 1] + 1});
+    }
+  }
+  return row.back();
+}
+
+enum class Where { kLoopback, kAnywhere };
+
+template <typename T>
+struct Word {
+  const char* text;
+  T value;
+};
+
+// ---- The table: every field that there is, once. ----
+
+template <typename V>
+void Describe(V& v, FaktorySettings& s) {
+  v.Flag("enabled", s.enabled);
+  // Neither this wire nor SNMP's has a say in who may speak to it: both stay on this machine.
+  v.Address("listen", s.listen, Where::kLoopback);
+  v.Millis("fetch_wait_ms", s.fetch_wait, 1, 600'000);
+  v.Millis("fetch_patience_ms", s.fetch_patience, 1, 600'000);
+  v.Millis("worker_silence_ms", s.worker_silence, 1, 86'400'000);
+  v.Millis("worker_return_ms", s.worker_return, 1, 600'000);
+}
+
+template <typename V>
+void Describe(V& v, SnmpSettings& s) {
+  v.Flag("enabled", s.enabled);
+  v.Address("listen", s.listen, Where::kLoopback);
+}
+
+template <typename V>
+void Describe(V& v, LogSettings& s) {
+  v.OneOf("format", s.format,
+          std::vector<Word<LogSettings::Format>>{{"text", LogSettings::Format::kText},
+                                                 {"json", LogSettings::Format::kJson}});
+  v.OneOf("level", s.level,
+          std::vector<Word<LogLevel>>{{"debug", LogLevel::kDebug},
+                                      {"info", LogLevel::kInfo},
+                                      {"warning", LogLevel::kWarning},
+                                      {"error", LogLevel::kError}});
+  v.Whole("lines_per_second", s.lines_per_second, 1, 10'000);
+  v.Whole("burst", s.burst, 1, 100'000);
+}
+
+template <typename V>
+void Describe(V& v, OperatorSettings& s) {
+  v.Section("faktory", s.faktory);
+  v.Section("snmp", s.snmp);
+  v.Section("logging", s.logging);
+}
+
+// ---- Reading ----
+
+class Reader {
+ public:
+  Reader(YAML::Node map, std::string path, const std::string& file)
+      : map_(std::move(map)), path_(std::move(path)), file_(file) {
+    if (map_.IsNull()) map_ = YAML::Node(YAML::NodeType::Map);
+    if (!map_.IsMap()) Bad(map_, path_, "must be a map of fields");
+    for (const auto& entry : map_) {
+      const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
+      if (!given_.insert(key).second) Bad(entry.first, Below(key), "is given twice");
+    }
+  }
+
+  void Flag(const char* name, bool& value) {
+    Scalar(
+        name, [&](const YAML::Node& node) { return YAML::convert<bool>::decode(node, value); },
+        "must be true or false");
+  }
+  void Whole(const char* name, int& value, int least, int most) {
+    std::int64_t figure = value;
+    Figure(name, figure, least, most, 1);
+    value = static_cast<int>(figure);
+  }
+  void Millis(const char* name, Micros& value, std::int64_t least, std::int64_t most) {
+    Figure(name, value, least, most, kMillisecond);
+  }
+  void Real(const char* name, double& value, double least, double most) {
+    Scalar(
+        name,
+        [&](const YAML::Node& node) {
+          double figure = 0;
+          if (!YAML::convert<double>::decode(node, figure) || !(figure >= least && figure <= most))
+            return false;
+          value = figure;
+          return true;
+        },
+        "must be a number from " + Plain(least) + " to " + Plain(most));
+  }
+  void Text(const char* name, std::string& value) {
+    Scalar(
+        name,
+        [&](const YAML::Node& node) {
+          value = node.Scalar();
+          return true;
+        },
+        "");
+  }
+  void Texts(const char* name, std::vector<std::string>& values, std::size_t most) {
+    const YAML::Node node = Take(name);
+    if (!node) return;
+    if (!node.IsSequence()) Bad(node, Below(name), "must be a list");
+    if (node.size() > most) Bad(node, Below(name), "must hold at most " + std::to_string(most) + " items");
+    values.clear();
+    for (std::size_t i = 0; i < node.size(); ++i) {
+      if (!node[i].IsScalar() || node[i].Scalar().empty())
+        Bad(node[i], Below(name) + "[" + std::to_string(i) + "]", "must be a text that is not empty");
+      values.push_back(node[i].Scalar());
+    }
+  }
+  void Address(const char* name, Endpoint& value, Where where) {
+    const YAML::Node node = Take(name);
+    if (!node) return;
+    const std::optional<Endpoint> endpoint = node.IsScalar() ? ParseEndpoint(node.Scalar()) : std::nullopt;
+    if (!endpoint)
+      Bad(node, Below(name),
+          "must be address:port" + (node.IsScalar() ? ", not '" + node.Scalar() + "'" : ""));
+    if (where == Where::kLoopback && !IsLoopback(*endpoint))
+      Bad(node, Below(name), "must be a loopback address");
+    value = *endpoint;
+  }
+  template <typename T>
+  void OneOf(const char* name, T& value, const std::vector<Word<T>>& words) {
+    std::string wanted;
+    for (const Word<T>& word : words) wanted += (wanted.empty() ? "" : ", ") + std::string(word.text);
+    Scalar(
+        name,
+        [&](const YAML::Node& node) {
+          const auto found = std::find_if(words.begin(), words.end(),
+                                          [&](const Word<T>& word) { return node.Scalar() == word.text; });
+          if (found != words.end()) value = found->value;
+          return found != words.end();
+        },
+        "must be one of " + wanted);
+  }
+  template <typename T>
+  void Section(const char* name, T& settings) {
+    const YAML::Node node = Take(name);
+    if (!node) return;
+    Reader below(node, Below(name), file_);
+    Describe(below, settings);
+    below.Finish();
+  }
+  // Two fields that do not go together; `name` is the one at fault.
+  void Check(bool holds, const char* name, const std::string& what) {
+    if (!holds) Bad(std::as_const(map_)[name] ? std::as_const(map_)[name] : map_, Below(name), what);
+  }
+
+  // All that is known has been asked for by now.
+  void Finish() {
+    for (const auto& entry : map_) {
+      const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
+      if (known_.contains(key)) continue;
+      const auto nearest = std::min_element(known_.begin(), known_.end(), [&](const auto& a, const auto& b) {
+        return EditDistance(key, a) < EditDistance(key, b);
+      });
+      Bad(entry.first, Below(key), "is unknown: did you mean '" + *nearest + "'?");
+    }
+  }
+
+ private:
+  static std::string Plain(double figure) {
+    std::string text = std::to_string(figure);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.ends_with('.')) text.pop_back();
+    return text;
+  }
+  std::string Below(const std::string& name) const { return path_.empty() ? name : path_ + "." + name; }
+  [[noreturn]] void Bad(const YAML::Node& node, const std::string& path, const std::string& what) const {
+    throw ConfigError(file_ + ":" + std::to_string(std::max(0, node.Mark().line) + 1) + ": " +
+                      (path.empty() ? "the file" : path) + " " + what);
+  }
+  // The field's node; false as a condition where it is left out or null.
+  YAML::Node Take(const char* name) {
+    known_.insert(name);
+    const YAML::Node node = std::as_const(map_)[name];
+    return node && !node.IsNull() ? node : YAML::Node(YAML::NodeType::Undefined);
+  }
+  template <typename F>
+  void Scalar(const char* name, F decode, const std::string& must) {
+    const YAML::Node node = Take(name);
+    if (!node) return;
+    if (!node.IsScalar() || !decode(node)) Bad(node, Below(name), must.empty() ? "must be a text" : must);
+  }
+  void Figure(const char* name, std::int64_t& value, std::int64_t least, std::int64_t most,
+              std::int64_t unit) {
+    Scalar(
+        name,
+        [&](const YAML::Node& node) {
+          std::int64_t figure = 0;
+          if (!YAML::convert<std::int64_t>::decode(node, figure) || figure < least || figure > most)
+            return false;
+          value = figure * unit;
+          return true;
+        },
+        "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+  }
+
+  YAML::Node map_;
+  std::string path_;
+  const std::string& file_;
+  std::set<std::string> given_, known_;
+};
+
+// ---- Printing ----
+
+class Printer {
+ public:
+  explicit Printer(YAML::Emitter* out) : out_(*out) {}
+  void Flag(const char* name, bool& value) { Put(name, value); }
+  void Whole(const char* name, int& value, int, int) { Put(name, value); }
+  void Millis(const char* name, Micros& value, std::int64_t, std::int64_t) {
+    Put(name, value / kMillisecond);
+  }
+  void Real(const char* name, double& value, double, double) { Put(name, value); }
+  void Text(const char* name, std::string& value) { Put(name, value); }
+  void Texts(const char* name, std::vector<std::string>& values, std::size_t) {
+    out_ << YAML::Key << name << YAML::Value << YAML::Flow << values;
+  }
+  void Address(const char* name, Endpoint& value, Where) { Put(name, ToText(value)); }
+  template <typename T>
+  void OneOf(const char* name, T& value, const std::vector<Word<T>>& words) {
+    for (const Word<T>& word : words) {
+      if (word.value == value) Put(name, std::string(word.text));
+    }
+  }
+  template <typename T>
+  void Section(const char* name, T& settings) {
+    out_ << YAML::Key << name << YAML::Value << YAML::BeginMap;
+    Describe(*this, settings);
+    out_ << YAML::EndMap;
+  }
+  void Check(bool, const char*, const std::string&) {}
+
+ private:
+  template <typename T>
+  void Put(const char* name, const T& value) {
+    out_ << YAML::Key << name << YAML::Value << value;
+  }
+  YAML::Emitter& out_;
+};
+
+}  // namespace
+
+OperatorSettings ParseOperatorText(const std::string& text, const std::string& name_in_errors) {
+  OperatorSettings settings;
+  try {
+    const YAML::Node root = YAML::Load(text);
+    if (!root.IsDefined() || root.IsNull()) return settings;  // nothing set: all defaults
+    Reader reader(root, "", name_in_errors);
+    Describe(reader, settings);
+    reader.Finish();
+  } catch (const YAML::Exception& e) {
+    throw ConfigError(name_in_errors + ":" + std::to_string(std::max(0, e.mark.line) + 1) +
+                      ": is not YAML: " + e.msg);
+  }
+  return settings;
+}
+
+OperatorSettings ReadOperatorFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw ConfigError(path + ":1: the file cannot be read");
+  std::string text;
+  text.resize(kMostBytes + 1);
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (text.size() > kMostBytes) throw ConfigError(path + ":1: the file is longer than 1 MiB");
+  return ParseOperatorText(text, path);
+}
+
+std::string PrintOperatorSettings(OperatorSettings settings) {
+  YAML::Emitter out;
+  Printer printer(&out);
+  out << YAML::BeginMap;
+  Describe(printer, settings);
+  out << YAML::EndMap;
+  return std::string(out.c_str()) + "\n";
+}
+
+}  // namespace aldersill
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,4 +1,5 @@
-// Wiring: carries out the effects that the reducer asks for and feeds it what fronts, links and timers tell.
+// Wiring: hands the effects that the reducer asks for to the parts that offered to take them, and feeds it
+// what parts and timers tell.
 #ifndef ALDERSILL_SRC_DAEMON_DAEMON_H_
 #define ALDERSILL_SRC_DAEMON_DAEMON_H_
 
@@ -10,12 +11,8 @@
 
 #include "config/config.h"
 #include "core/reducer.h"
-#include "faktory/front.h"
-#include "http/client_front.h"
-#include "http/discovery.h"
-#include "http/instance_link.h"
+#include "daemon/part.h"
 #include "net/event_loop.h"
-#include "snmp/agent.h"
 
 namespace aldersill {
 
@@ -57,11 +54,8 @@
   Micros clock_offset_ = 0;
   Micros drain_began_ = 0;
 
-  std::unique_ptr<InstanceLink> instances_;
-  std::unique_ptr<Discovery> discovery_;
-  std::unique_ptr<ClientFront> clients_;
-  std::unique_ptr<faktory::Front> faktory_;  // none where it is off
-  std::unique_ptr<snmp::Agent> snmp_;
+  Offers offers_;
+  std::vector<std::unique_ptr<Part>> parts_;
 };
 
 }  // namespace aldersill
--- /dev/null
+++ b/src/daemon/part.h
@@ -0,0 +1,92 @@
+// What a part of the daemon (fronts and links of one wire, an agent) offers to the wiring and is told by it.
+// Daemon holds a list of parts and knows none of them by name: a new part is a file of its own, made in
+// parts.cpp. All on the loop's thread.
+#ifndef ALDERSILL_SRC_DAEMON_PART_H_
+#define ALDERSILL_SRC_DAEMON_PART_H_
+
+#include <event2/event.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "core/reducer.h"
+#include "core/types.h"
+#include "snmp/objects.h"
+
+namespace aldersill {
+
+class ExecutionRunner {
+ public:
+  virtual ~ExecutionRunner() = default;
+  virtual void Start(const StartExecution& start) = 0;
+  virtual void Stop(ExecutionNo execution) = 0;
+};
+
+class ClientDoor {
+ public:
+  virtual ~ClientDoor() = default;
+  virtual void Reply(std::uint64_t client, const FinalAnswer& answer) = 0;
+};
+
+// Where the core's effects go, and what else a part has for others. A place that nobody has taken is empty.
+struct Offers {
+  std::array<ExecutionRunner*, 2> runners{};  // by Instance::Source
+  std::array<ClientDoor*, 2> doors{};         // by ClientRef::Front
+  std::function<void(const ProbeInstance&)> probe;
+  // The same for a part's own sake: what comes of it goes to the function alone, once.
+  std::function<void(const ProbeInstance&, std::function<void(ProbeAnswered)>)> probe_for;
+  std::function<void()> watch_name_table;
+  // Called with each walk: what the part adds to the MIB.
+  std::vector<std::function<void(snmp::ObjectMap*)>> snmp_objects;
+  // What a running instance can be asked over its control socket, by the question's name: JSON, one line.
+  std::map<std::string, std::function<std::string()>> questions;
+};
+
+struct Surroundings {
+  event_base* base = nullptr;
+  EventSink* sink = nullptr;
+  const Reducer* reducer = nullptr;  // to read: its state changes through `sink` alone
+  Offers* offers = nullptr;
+  std::function<Micros()> now;  // the clock of the whole program
+};
+
+class Part {
+ public:
+  virtual ~Part() = default;
+
+  // Takes its places in the offers and begins. Throws std::runtime_error if it cannot, as where it cannot
+  // listen.
+  virtual void Start(const Config& config) = 0;
+  // After all parts have begun, and the name table remembered is known.
+  virtual void Announce() {}
+
+  // The configuration read anew, in two steps so that it is taken over whole or not at all: Prepare does all
+  // that can fail, throws what is wrong and changes nothing that shows; Adopt cannot fail. A Prepare without
+  // an Adopt is undone by Abandon.
+  virtual void Prepare(const Config&) {}
+  virtual void Adopt(const Config&) {}
+  virtual void Abandon() {}
+  // After the core has been told the new settings.
+  virtual void Adopted(const Config&) {}
+
+  virtual void BeginDrain() {}
+  virtual bool Quiet() const { return true; }  // nothing in hand that the program's end would lose
+};
+
+// All parts, in the order in which they start.
+std::vector<std::unique_ptr<Part>> MakeParts(const Surroundings& surroundings);
+
+// How the descriptors are shared out among the parts that hold connections.
+struct Shares {
+  explicit Shares(const Config& config);
+  int sessions = 0, clients = 0, instances = 0;
+};
+
+}  // namespace aldersill
+
+#endif  // ALDERSILL_SRC_DAEMON_PART_H_
--- /dev/null
+++ b/src/daemon/parts.cpp
@@ -0,0 +1,25 @@
+#include "daemon/parts.h"
+
+namespace aldersill {
+namespace {
+
+// Descriptors for what is not a connection: standard streams, epoll, signals, listeners, discovery.
+constexpr int kReserved = 40;
+
+}  // namespace
+
+Shares::Shares(const Config& config) {
+  const int all = config.sockets - kReserved;
+  sessions = config.own.faktory.enabled ? all / 4 : 0;
+  clients = instances = (all - sessions) / 2;
+}
+
+std::vector<std::unique_ptr<Part>> MakeParts(const Surroundings& surroundings) {
+  std::vector<std::unique_ptr<Part>> parts;
+  parts.push_back(MakePlatformPart(surroundings));
+  parts.push_back(MakeFaktoryPart(surroundings));
+  parts.push_back(MakeSnmpPart(surroundings));
+  return parts;
+}
+
+}  // namespace aldersill
--- /dev/null
+++ b/src/daemon/platform_part.cpp
@@ -0,0 +1,99 @@
+// The platform's HTTP: service clients, links to instances, discovery.
+#include <optional>
+#include <utility>
+
+#include "daemon/parts.h"
+#include "http/client_front.h"
+#include "http/discovery.h"
+#include "http/instance_link.h"
+#include "log/log.h"
+
+namespace aldersill {
+namespace {
+
+// After SIGTERM the layer before us goes on sending new connections for a while.
+constexpr Micros kQuietFor = 300 * kMillisecond;
+
+ClientFrontSettings ForClients(const Config& c) {
+  ClientFrontSettings s;
+  for (const auto& klass : c.module.classes)
+    s.keyed[klass.name] = klass.repeat == pulleyrouter::Repeat::kKeyed;
+  s.most_connections = static_cast<std::size_t>(Shares(c).clients);
+  s.most_bytes = (static_cast<std::size_t>(c.memory_mb) << 20) / 8;
+  return s;
+}
+
+class PlatformPart : public Part, public ExecutionRunner, public ClientDoor {
+ public:
+  explicit PlatformPart(const Surroundings& around) : around_(around) {}
+
+  void Start(const Config& c) override {
+    instances_ =
+        std::make_unique<InstanceLink>(around_.base, c.dial_timeout, Shares(c).instances, around_.sink);
+    if (c.discovery)
+      discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, c.known_version, around_.sink);
+    clients_ = std::make_unique<ClientFront>(around_.base, c.listen, ForClients(c), around_.sink);
+    listen_ = c.listen;
+    discovered_at_ = c.discovery;
+    Offers& offers = *around_.offers;
+    offers.runners[static_cast<std::size_t>(Instance::Source::kDiscovery)] = this;
+    offers.doors[static_cast<std::size_t>(ClientRef::Front::kHttp)] = this;
+    offers.probe = [this](const ProbeInstance& probe) { instances_->Probe(probe); };
+    offers.probe_for = [this](const ProbeInstance& probe, std::function<void(ProbeAnswered)> done) {
+      instances_->Probe(probe, std::move(done));
+    };
+    offers.watch_name_table = [this] {
+      if (discovery_ != nullptr) discovery_->Watch();
+    };
+  }
+
+  void Announce() override {
+    Log(LogLevel::kInfo, "door",
+        {{"name", "http"}, {"address", listen_.host + ":" + std::to_string(clients_->port())}});
+  }
+
+  void Start(const StartExecution& e) override { instances_->Start(e); }
+  void Stop(ExecutionNo execution) override { instances_->Stop(execution); }
+  void Reply(std::uint64_t client, const FinalAnswer& answer) override { clients_->Reply(client, answer); }
+
+  void Prepare(const Config& next) override {
+    if (!(next.listen == listen_)) door_ = clients_->Open(next.listen);
+  }
+  void Abandon() override { door_.reset(); }
+  void Adopt(const Config& c) override {
+    instances_->Adopt(c.dial_timeout, Shares(c).instances);
+    clients_->Adopt(ForClients(c), std::move(door_));
+    listen_ = c.listen;
+  }
+  void Adopted(const Config& c) override {
+    if (c.discovery == discovered_at_) return;
+    discovered_at_ = c.discovery;
+    discovery_.reset();
+    Log(LogLevel::kInfo, "discovery_moved",
+        {{"address", c.discovery ? ToText(*c.discovery) : std::string("none")}});
+    if (!c.discovery) return;
+    // Its versions are its own: the whole list first, and until then the workers that are known serve on.
+    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt, around_.sink);
+    discovery_->Watch();
+  }
+
+  void BeginDrain() override { clients_->BeginDrain(); }
+  bool Quiet() const override { return clients_->Quiet() && clients_->SinceLastAccept() >= kQuietFor; }
+
+ private:
+  const Surroundings around_;
+  std::unique_ptr<InstanceLink> instances_;
+  std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<ClientFront> clients_;
+  Endpoint listen_;
+  std::optional<Endpoint> discovered_at_;
+  EventPtr<evconnlistener> door_;  // opened for a configuration that is not yet taken over
+};
+
+}  // namespace
+
+std::unique_ptr<Part> MakePlatformPart(const Surroundings& surroundings) {
+  return std::make_unique<PlatformPart>(surroundings);
+}
+
+}  // namespace aldersill
--- a/src/faktory/front.cpp
+++ b/src/faktory/front.cpp
@@ -263,7 +263,7 @@
 void Front::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
   auto* front = static_cast<Front*>(arg);
   if (front->sessions_.size() >= static_cast<std::size_t>(front->s_.most_connections)) {
-    Log("faktory: %zu sessions, no more taken", front->sessions_.size());
+    Log(LogLevel::kWarning, "faktory_sessions_full", {{"sessions", front->sessions_.size()}});
     evutil_closesocket(fd);
     return;
   }
@@ -329,8 +329,8 @@
     w.instance.zone = hello.zone;
     w.instance.kind = hello.kind;
     w.silence = std::make_unique<Timer>(base_, [this, name] {
-      Log("%s: %s, taken for gone", name.c_str(),
-          workers_.at(name).sessions > 0 ? "silent" : "not connected");
+      Log(LogLevel::kWarning, "faktory_worker_gone",
+          {{"worker", name}, {"why", workers_.at(name).sessions > 0 ? "silent" : "not connected"}});
       Lose(name);
     });
   }
--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -339,8 +339,8 @@
     evconnlistener_enable(listener_.get());
     return;
   }
-  Log("%zu client connections, %zu with a request in hand: accepting no more for now", connections_.size(),
-      held_.size());
+  Log(LogLevel::kWarning, "client_connections_full",
+      {{"connections", connections_.size()}, {"with_a_request", held_.size()}});
   evconnlistener_disable(listener_.get());
   room_timer_.Set(kLookForRoomEvery);
 }
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -100,7 +100,7 @@
 }
 
 void Discovery::Fail(const char* why) {
-  Log("discovery: %s", why);
+  Log(LogLevel::kWarning, "discovery_failed", {{"why", why}});
   overdue_->Clear();
   renew_->Clear();
   watching_ = false;
--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -67,7 +67,8 @@
     request_id_ = std::move(request_id);
     Write(message);
   }
-  void Probe(std::string instance, const std::string& message) {
+  void Probe(std::string instance, const std::string& message, ProbeDone done) {
+    probe_done_ = std::move(done);
     probed_ = std::move(instance);
     Write(message);
     probe_timer_.Set(link_->dial_timeout_ * 4);  // a probe that takes longer tells nothing
@@ -173,7 +174,7 @@
       try {
         OnLine(DecodeExecutionLine(text, request_id_));
       } catch (const BadMessage& e) {
-        Log("%s: a line of the answer %s", address.c_str(), e.what());
+        Log(LogLevel::kWarning, "instance_answer_bad", {{"address", address}, {"what", e.what()}});
         return 1;
       }
     }
@@ -211,12 +212,13 @@
     if (!HasFigures(ended.report)) ended.report = load_;
     const auto execution = std::exchange(execution_, std::nullopt);
     const auto probed = std::exchange(probed_, std::nullopt);
+    const ProbeDone done = std::move(probe_done_);
     const Micros elapsed = SteadyNow() - started_;
     InstanceLink* link = link_;
     notes_.clear();
     if (execution) link->busy_.erase(*execution);
     link->Remove(this);  // and with it all of this object
-    if (probed) link->sink_->Tell(ProbeAnswered{*probed, ended.outcome, elapsed, ended.report});
+    if (probed) done(ProbeAnswered{*probed, ended.outcome, elapsed, ended.report});
     if (!execution) return;
     ended.execution = *execution;
     link->sink_->Tell(std::move(ended));
@@ -230,10 +232,11 @@
     ExecutionEnded ended{{}, outcome, "", load_};
     const auto execution = std::exchange(execution_, std::nullopt);
     const auto probed = std::exchange(probed_, std::nullopt);
+    const ProbeDone done = std::move(probe_done_);
     InstanceLink* link = link_;
     if (execution) link->busy_.erase(*execution);
     link->Remove(this);
-    if (probed) link->sink_->Tell(ProbeAnswered{*probed, outcome, 0, {}});
+    if (probed) done(ProbeAnswered{*probed, outcome, 0, {}});
     if (!execution) return;
     ended.execution = *execution;
     link->sink_->Tell(std::move(ended));
@@ -242,6 +245,7 @@
   InstanceLink* link_;
   EventPtr<bufferevent> stream_;
   Timer probe_timer_;
+  ProbeDone probe_done_;
   http_parser parser_;
   std::optional<ExecutionNo> execution_;
   std::optional<std::string> probed_;
@@ -272,12 +276,13 @@
 
 InstanceLink::Connection* InstanceLink::Open(const std::string& address) {
   if (connections_.size() >= most_connections_) {
-    Log("%zu instance connections, all busy: none left for %s", connections_.size(), address.c_str());
+    Log(LogLevel::kWarning, "instance_connections_full",
+        {{"connections", connections_.size()}, {"address", address}});
     return nullptr;
   }
   const std::optional<Endpoint> to = ParseEndpoint(address);
   if (!to) {
-    Log("name table: addr must be address:port, not '%s'", address.c_str());
+    Log(LogLevel::kWarning, "name_table_bad", {{"what", "addr must be address:port, not '" + address + "'"}});
     return nullptr;
   }
   EventPtr<bufferevent> stream(
@@ -310,13 +315,19 @@
 }
 
 void InstanceLink::Probe(const ProbeInstance& probe) {
+  Probe(probe, [this](ProbeAnswered answered) { sink_->Tell(std::move(answered)); });
+}
+
+void InstanceLink::Probe(const ProbeInstance& probe, ProbeDone done) {
   Connection* connection = Open(probe.address);
   if (connection == nullptr) {
-    sink_->Tell(ProbeAnswered{probe.instance, Outcome::kConnectFailed, 0, {}});
+    done(ProbeAnswered{probe.instance, Outcome::kConnectFailed, 0, {}});
     return;
   }
-  connection->Probe(probe.instance, "GET /-/load HTTP/1.1\r\n" + HeaderLine("Host", probe.address) +
-                                        "Connection: close\r\n\r\n");
+  connection->Probe(
+      probe.instance,
+      "GET /-/load HTTP/1.1\r\n" + HeaderLine("Host", probe.address) + "Connection: close\r\n\r\n",
+      std::move(done));
 }
 
 void InstanceLink::Remove(Connection* connection) { connections_.erase(connection); }
--- a/src/http/instance_link.h
+++ b/src/http/instance_link.h
@@ -7,6 +7,7 @@
 #define ALDERSILL_SRC_HTTP_INSTANCE_LINK_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,7 +26,11 @@
   void Adopt(Micros dial_timeout, int most_connections);
   void Start(const StartExecution& start);
   void Stop(ExecutionNo execution);
+  // Tells the sink.
   void Probe(const ProbeInstance& probe);
+  // Tells `done` instead, once, and maybe at once.
+  using ProbeDone = std::function<void(ProbeAnswered)>;
+  void Probe(const ProbeInstance& probe, ProbeDone done);
 
  private:
   class Connection;
--- a/src/snmp/agent.cpp
+++ b/src/snmp/agent.cpp
@@ -18,9 +18,9 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 
 #include "log/log.h"
-#include "snmp/objects.h"
 
 namespace aldersill::snmp {
 namespace {
@@ -30,7 +30,7 @@
 constexpr std::size_t kRootLength = OID_LENGTH(kRoot);
 constexpr char kAccess[] = "rocommunity public 127.0.0.0/8 .1.3.6.1.4.1.8072.9999.9999.7419";
 
-const Counters* counters = nullptr;  // the library's handlers carry no pointer of ours
+std::function<ObjectMap()> now_standing;  // the library's handlers carry no pointer of ours
 
 ObjectId BelowRoot(const netsnmp_variable_list* var) {
   ObjectId id;
@@ -54,7 +54,7 @@
 
 int Handle(netsnmp_mib_handler*, netsnmp_handler_registration*, netsnmp_agent_request_info* info,
            netsnmp_request_info* requests) {
-  const std::map<ObjectId, Value> objects = Objects(*counters);
+  const ObjectMap objects = now_standing();
   for (netsnmp_request_info* request = requests; request != nullptr; request = request->next) {
     if (request->processed != 0) continue;
     netsnmp_variable_list* var = request->requestvb;
@@ -80,14 +80,14 @@
 }
 
 int OnLibraryLog(int, int, void* message, void*) {
-  Log("snmp: %s", static_cast<const snmp_log_message*>(message)->msg);
+  Log(LogLevel::kWarning, "snmp_library", {{"text", static_cast<const snmp_log_message*>(message)->msg}});
   return 0;
 }
 
 }  // namespace
 
-Agent::Agent(event_base* base, const Endpoint& listen, const Counters* to_show) {
-  counters = to_show;
+Agent::Agent(event_base* base, const Endpoint& listen, std::function<ObjectMap()> objects) {
+  now_standing = std::move(objects);
   // Nothing here is looked up by name, kept or configured outside: paths at which there can be nothing.
   setenv("MIBS", "", 1);
   setenv("MIBDIRS", "/dev/null", 1);
--- a/src/snmp/agent.h
+++ b/src/snmp/agent.h
@@ -6,16 +6,16 @@
 #include <functional>
 #include <memory>
 
-#include "core/counters.h"
 #include "net/event_loop.h"
+#include "snmp/objects.h"
 
 namespace aldersill::snmp {
 
 // At most one in a process: the library keeps global state.
 class Agent {
  public:
-  // `counters` outlives the agent. Throws std::runtime_error if it cannot listen.
-  Agent(event_base* base, const Endpoint& listen, const Counters* counters);
+  // `objects` gives what stands in the MIB when it is called. Throws std::runtime_error if it cannot listen.
+  Agent(event_base* base, const Endpoint& listen, std::function<ObjectMap()> objects);
   ~Agent();
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
--- a/src/snmp/objects.cpp
+++ b/src/snmp/objects.cpp
@@ -17,8 +17,8 @@
 
 }  // namespace
 
-std::map<ObjectId, Value> Objects(const Counters& c) {
-  std::map<ObjectId, Value> objects;
+ObjectMap Objects(const Counters& c) {
+  ObjectMap objects;
   std::uint64_t column = 0;
   const auto scalar = [&](Value value) { objects[{1, ++column, 0}] = std::move(value); };
   scalar(ToGauge(c.open_requests));
--- a/src/snmp/objects.h
+++ b/src/snmp/objects.h
@@ -22,7 +22,8 @@
 using Value = std::variant<Gauge, Counter, std::string>;
 
 // Every instance there is, below the MIB's root, in the order in which GETNEXT walks them.
-std::map<ObjectId, Value> Objects(const Counters& counters);
+using ObjectMap = std::map<ObjectId, Value>;
+ObjectMap Objects(const Counters& counters);
 
 }  // namespace aldersill::snmp
 
--- /dev/null
+++ b/tests/daemon/settings_test.cpp
@@ -0,0 +1,141 @@
+// The operator's file and the command line: what is read, what is refused and how it is told.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "config/config.h"
+#include "config/operator_file.h"
+#include "daemon_under_test.h"
+
+namespace aldersill::tests {
+namespace {
+
+std::string Complaint(const std::string& text) {
+  try {
+    ParseOperatorText(text, "f");
+  } catch (const ConfigError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST_CASE("a bad operator's file is told by file, line, path and what is wrong") {
+  const struct {
+    const char* text;
+    const char* complaint;
+  } kBad[] = {
+      {"faktory:\n  enabled: perhaps\n", "f:2: faktory.enabled must be true or false"},
+      {"faktory:\n  enabled: true\n  listne: 127.0.0.1:1\n",
+       "f:3: faktory.listne is unknown: did you mean 'listen'?"},
+      {"\nloging: {}\n", "f:2: loging is unknown: did you mean 'logging'?"},
+      {"snmp:\n  listen: localhost\n", "f:2: snmp.listen must be address:port, not 'localhost'"},
+      {"snmp:\n  listen: 10.0.0.1:5\n", "f:2: snmp.listen must be a loopback address"},
+      {"snmp:\n  listen: [1]\n", "f:2: snmp.listen must be address:port"},
+      {"faktory:\n\n  fetch_wait_ms: 0\n",
+       "f:3: faktory.fetch_wait_ms must be a whole number from 1 to 600000"},
+      {"faktory:\n  fetch_wait_ms: 1.5\n",
+       "f:2: faktory.fetch_wait_ms must be a whole number from 1 to 600000"},
+      {"logging:\n  format: xml\n", "f:2: logging.format must be one of text, json"},
+      {"faktory: 3\n", "f:1: faktory must be a map of fields"},
+      {"- a\n", "f:1: the file must be a map of fields"},
+      {"snmp:\n  enabled: true\n  enabled: false\n", "f:3: snmp.enabled is given twice"},
+      {"snmp: {}\nsnmp: {}\n", "f:2: snmp is given twice"},
+  };
+  for (const auto& bad : kBad) {
+    CAPTURE(bad.text);
+    CHECK(Complaint(bad.text) == bad.complaint);
+  }
+  CHECK(Complaint("faktory: [\n").starts_with("f:2: is not YAML: "));
+  CHECK(Complaint("a: \"\n").find('\n') == std::string::npos);
+}
+
+TEST_CASE("what is left out stands with its default; JSON is YAML; what is printed reads back the same") {
+  CHECK(Complaint("") == "");
+  CHECK(Complaint("faktory:\nsnmp:\n") == "");
+  const OperatorSettings s = ParseOperatorText(
+      R"({"faktory": {"enabled": true, "fetch_wait_ms": 50}, "logging": {"format": "json"}})", "f");
+  CHECK(s.faktory.enabled);
+  CHECK(s.faktory.fetch_wait == 50 * kMillisecond);
+  CHECK(s.faktory.worker_silence == 60 * kSecond);
+  CHECK(s.logging.format == LogSettings::Format::kJson);
+  const std::string printed = PrintOperatorSettings(s);
+  CHECK(PrintOperatorSettings(ParseOperatorText(printed, "f")) == printed);
+  CHECK(printed.find("fetch_wait_ms: 50\n") != std::string::npos);
+  CHECK(printed.find("listen: 127.0.0.1:1161\n") != std::string::npos);
+}
+
+// Runs the program; its exit status, and what it wrote to either stream.
+int RunProgram(const std::string& arguments, std::string* output) {
+  output->clear();
+  std::FILE* pipe = popen((std::string(ALDERSILL_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  REQUIRE(pipe != nullptr);
+  char buffer[512];
+  while (std::fgets(buffer, sizeof(buffer), pipe) != nullptr) *output += buffer;
+  const int status = pclose(pipe);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+TEST_CASE("the command line checks and prints configurations, and says what it cannot do") {
+  std::string pattern = (std::filesystem::temp_directory_path() / "aldersill-XXXXXX").string();
+  REQUIRE(mkdtemp(pattern.data()) != nullptr);
+  const std::filesystem::path folder = pattern;
+  const std::string good = folder / "good.yaml", bad = folder / "bad.yaml";
+  std::ofstream(good) << "faktory: {enabled: true}\n";
+  std::ofstream(bad) << "faktory: {enabld: true}\n";
+  const std::string platform = std::string(ALDERSILL_EXCHANGES) + "/config.json";
+  std::string output;
+  CHECK(RunProgram("check-config " + good + " " + platform, &output) == 0);
+  CHECK(output == good + ": good, as the operator's settings\n" + platform +
+                      ": good, as the platform's configuration\n");
+  CHECK(RunProgram("check-config " + good + " " + bad, &output) == 1);
+  CHECK(output.find(bad + ":1: faktory.enabld is unknown: did you mean 'enabled'?\n") != std::string::npos);
+  CHECK(RunProgram("check-config " + (folder / "none.yaml").string(), &output) == 1);
+  CHECK(output.ends_with("none.yaml:1: the file cannot be read\n"));
+  setenv("ALDERSILL_SETTINGS", good.c_str(), 1);
+  CHECK(RunProgram("print-config", &output) == 0);
+  CHECK(output.find("faktory:\n  enabled: true\n  listen: 127.0.0.1:7419\n") != std::string::npos);
+  setenv("ALDERSILL_FRONTS", good.c_str(), 1);
+  CHECK(RunProgram("print-config", &output) == 1);
+  CHECK(output.find("ALDERSILL_SETTINGS and ALDERSILL_FRONTS are both set") != std::string::npos);
+  unsetenv("ALDERSILL_SETTINGS");
+  unsetenv("ALDERSILL_FRONTS");
+  CHECK(RunProgram("--version", &output) == 0);
+  CHECK(output.starts_with("aldersill "));
+  CHECK(RunProgram("serv", &output) == 2);
+  CHECK(RunProgram("check-config", &output) == 2);
+  CHECK(RunProgram("--help", &output) == 0);
+  CHECK(output.find("Exit status") != std::string::npos);
+  unsetenv("GW_CONFIG");
+  CHECK(RunProgram("serve", &output) == 1);
+  CHECK(output == "aldersill: GW_CONFIG is not set\n");
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("log lines as JSON are one object each, with the event and its fields typed") {
+  nlohmann::json config = ReadJson(std::string(ALDERSILL_EXCHANGES) + "/config.json");
+  config.erase("discovery");
+  // The helper reads the doors from text lines, so it finds none here and reads on to the end.
+  DaemonUnderTest daemon(config,
+                         {{"logging", {{"format", "json"}}}, {"faktory", {{"listen", "127.0.0.1:1"}}}},
+                         "ALDERSILL_SETTINGS", "\"event\":\"serving\"");
+  daemon.Signal(SIGTERM);
+  CHECK(daemon.Wait() == 0);
+  std::istringstream lines(daemon.log());
+  bool serving = false;
+  for (std::string line; std::getline(lines, line);) {
+    const nlohmann::json json = nlohmann::json::parse(line);
+    CHECK(json.at("time").get<std::string>().size() == 27);
+    CHECK(json.at("level") == "info");
+    if (json.at("event") == "serving") serving = json.at("remembered").is_number();
+  }
+  CHECK(serving);
+}
+
+}  // namespace
+}  // namespace aldersill::tests
