Let instances know one another and divide periodic duties among them

Need: with D dispatchers each worker would be probed D times, and nothing that one instance alone may do had a place. Change: src/membership/ is SWIM with Lifeguard's refinements as a pure core, MessagePack packets, sealed datagrams (XChaCha20-Poly1305, replay window, two keys in a rotation) and a thin UDP transport. src/duties/ divides probing by weighted rendezvous hashing, orders results by hybrid logical clocks, and leases exclusive duties from a majority (PaxosLease). src/cluster/ is both as one core. aldersill members and duties ask over a Unix socket; SNMP objects.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -7,11 +7,14 @@
 #include <exception>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "config/config.h"
 #include "config/operator_file.h"
+#include "control/control.h"
 #include "daemon/daemon.h"
 
 namespace aldersill {
@@ -73,6 +76,85 @@
   }
 }
 
+struct Question {
+  std::string socket;  // empty: the operator's file says
+  bool json = false;
+};
+
+// What a running instance answers; nothing, with the complaint made, where none does.
+std::optional<nlohmann::json> AskRunning(const Question& question, const char* what, int* status) {
+  try {
+    std::string path = question.socket;
+    if (path.empty()) {
+      const std::string file = OperatorFilePath();
+      if (!file.empty()) path = ReadOperatorFile(file).control.socket;
+    }
+    if (path.empty()) throw ConfigError("control.socket is not set: give --socket PATH");
+    *status = kUnreachable;
+    const std::optional<std::string> answer = control::Ask(path, what);
+    if (!answer) throw std::runtime_error("no running instance answers at " + path);
+    return nlohmann::json::parse(*answer);
+  } catch (const ConfigError& e) {
+    *status = Complain(e);
+  } catch (const std::exception& e) {
+    Complain(e);
+  }
+  return std::nullopt;
+}
+
+int Members(const Question& question) {
+  int status = kDone;
+  const auto json = AskRunning(question, "members", &status);
+  if (!json) return status;
+  if (question.json) {
+    std::printf("%s\n", json->dump().c_str());
+    return kDone;
+  }
+  if (!json->at("enabled").get<bool>()) {
+    std::printf("membership is off\n");
+    return kDone;
+  }
+  std::printf("%-24s %-8s %-22s %7s  %s\n", "NAME", "STATE", "ADDRESS", "WEIGHT", "SINCE (UNIX MS)");
+  for (const nlohmann::json& m : json->at("members")) {
+    std::printf("%-24s %-8s %-22s %7llu  %llu%s\n", m.at("name").get<std::string>().c_str(),
+                m.at("state").get<std::string>().c_str(), m.at("address").get<std::string>().c_str(),
+                m.at("weight").get<unsigned long long>(), m.at("epoch").get<unsigned long long>(),
+                m.at("self").get<bool>() ? "  (this one)" : "");
+  }
+  return kDone;
+}
+
+int Duties(const Question& question) {
+  int status = kDone;
+  const auto json = AskRunning(question, "duties", &status);
+  if (!json) return status;
+  if (question.json) {
+    std::printf("%s\n", json->dump().c_str());
+    return kDone;
+  }
+  if (!json->at("enabled").get<bool>()) {
+    std::printf("membership is off, and with it all shared duties\n");
+    return kDone;
+  }
+  if (const nlohmann::json& p = json->at("probing"); p.is_null()) {
+    std::printf("probing: not shared\n");
+  } else {
+    std::printf("probing: owns %llu of %llu workers; %llu probes, %llu takeovers, %llu results heard\n",
+                p.at("owned").get<unsigned long long>(), p.at("workers").get<unsigned long long>(),
+                p.at("started").get<unsigned long long>(), p.at("takeovers").get<unsigned long long>(),
+                p.at("heard").get<unsigned long long>());
+  }
+  for (const nlohmann::json& d : json->at("exclusive")) {
+    const auto holder = d.at("holder").get<std::string>();
+    std::printf("%s: %s%s\n", d.at("duty").get<std::string>().c_str(),
+                d.at("held").get<bool>()
+                    ? ("held here, term " + std::to_string(d.at("term").get<unsigned long long>())).c_str()
+                    : "not held here",
+                holder.empty() ? "" : (", holder as told: " + holder).c_str());
+  }
+  return kDone;
+}
+
 }  // namespace
 
 int RunCommandLine(int argc, char** argv) {
@@ -91,6 +173,14 @@
       ->required();
   CLI::App* print =
       app.add_subcommand("print-config", "Prints the operator's settings in force, defaults included");
+  Question question;
+  CLI::App* members = app.add_subcommand("members", "Asks a running instance whom it knows");
+  CLI::App* duties = app.add_subcommand("duties", "Asks a running instance which duties it has");
+  for (CLI::App* asks : {members, duties}) {
+    asks->add_option("--socket", question.socket,
+                     "The control socket, in place of the settings' control.socket");
+    asks->add_flag("--json", question.json, "Prints the answer as it came");
+  }
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -99,6 +189,8 @@
   }
   if (check->parsed()) return CheckConfig(files);
   if (print->parsed()) return PrintConfig();
+  if (members->parsed()) return Members(question);
+  if (duties->parsed()) return Duties(question);
   return Serve();
 }
 
--- /dev/null
+++ b/src/cluster/cluster.cpp
@@ -0,0 +1,145 @@
+#include "cluster/cluster.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "duties/codec.h"
+
+namespace aldersill::cluster {
+
+Cluster::Cluster(Settings settings, std::uint64_t seed)
+    : s_(std::move(settings)), seed_(seed), membership_(s_.membership, seed) {
+  if (s_.probing) probing_.emplace(*s_.probing, seed + 1);
+}
+
+void Cluster::Handle(Micros now, Event event, std::vector<Effect>* effects) {
+  now_ = std::max(now_, now);
+  effects_ = effects;
+  std::visit([this](auto&& e) { On(std::move(e)); }, std::move(event));
+}
+
+Micros Cluster::next_due() const {
+  Micros due = membership_.next_due();
+  if (probing_) due = std::min(due, probing_->next_due());
+  for (const auto& [duty, lease] : leases_) due = std::min(due, lease.next_due());
+  return due;
+}
+
+// ---- Events ----
+
+void Cluster::On(Start&& e) {
+  for (std::size_t i = 0; i < s_.exclusive.size(); ++i) {
+    duties::LeaseSettings lease{s_.exclusive[i], s_.membership.name, e.epoch,
+                                s_.voters,       s_.lease,           s_.most_drift};
+    leases_.emplace(s_.exclusive[i], duties::Lease(std::move(lease), seed_ + 2 + i));
+  }
+  ToMembership(membership::Started{e.epoch});
+  ToProbing(duties::MemberCame{s_.membership.name, s_.membership.weight});
+  for (auto& [duty, lease] : leases_) ToLease(&lease, duties::LeaseStarted{});
+}
+
+void Cluster::On(Came&& e) {
+  ToMembership(membership::PacketCame{std::move(e.address), std::move(e.packet)});
+}
+
+void Cluster::On(Time&&) {
+  // Leases first: one that ended while this instance stood still must not outlive another's word.
+  for (auto& [duty, lease] : leases_) ToLease(&lease, duties::LeaseTime{});
+  if (membership_.next_due() <= now_) ToMembership(membership::TimeCame{});
+  if (probing_ && probing_->next_due() <= now_) ToProbing(duties::ProbeTime{});
+}
+
+void Cluster::On(Workers&& e) { ToProbing(duties::WorkersAre{std::move(e.all)}); }
+
+void Cluster::On(Probed&& e) { ToProbing(duties::ProbeEnded{e.number, e.outcome, e.elapsed, e.report}); }
+
+void Cluster::On(Leave&&) {
+  for (auto& [duty, lease] : leases_) ToLease(&lease, duties::GiveUp{});
+  ToMembership(membership::LeaveAsked{});
+  ToProbing(duties::MemberWent{s_.membership.name});
+}
+
+// ---- What the parts ask for ----
+
+void Cluster::ToMembership(membership::Event event) {
+  std::vector<membership::Effect> asked;
+  membership_.Handle(now_, std::move(event), &asked);
+  for (membership::Effect& effect : asked) {
+    std::visit([this](auto&& e) { Do(std::move(e)); }, std::move(effect));
+  }
+}
+
+void Cluster::ToProbing(duties::ProbeEvent event) {
+  if (!probing_) return;
+  std::vector<duties::ProbeEffect> asked;
+  probing_->Handle(now_, std::move(event), &asked);
+  for (duties::ProbeEffect& effect : asked) {
+    std::visit([this](auto&& e) { Do(std::move(e)); }, std::move(effect));
+  }
+}
+
+void Cluster::ToLease(duties::Lease* lease, duties::LeaseEvent event) {
+  std::vector<duties::LeaseEffect> asked;
+  lease->Handle(now_, std::move(event), &asked);
+  const std::string& duty = lease->settings().duty;
+  for (duties::LeaseEffect& effect : asked) {
+    if (auto* send = std::get_if<duties::SendTo>(&effect)) {
+      ToMembership(membership::DirectAsked{
+          send->to, duties::EncodeMessage(duties::DutyMessage{duty, std::move(send->message)})});
+    } else if (const auto* taken = std::get_if<duties::Taken>(&effect)) {
+      effects_->push_back(LeaseNews{duty, true, taken->term});
+    } else {
+      effects_->push_back(LeaseNews{duty, false, std::get<duties::Lost>(effect).term});
+    }
+  }
+}
+
+void Cluster::Do(membership::SendPacket&& e) {
+  effects_->push_back(Send{std::move(e.address), std::move(e.packet)});
+}
+
+void Cluster::Do(membership::MemberNews&& e) {
+  using What = membership::MemberNews::What;
+  effects_->push_back(e);
+  switch (e.what) {
+    case What::kDead:
+    case What::kLeft:
+      return ToProbing(duties::MemberWent{e.member.name});
+    case What::kSuspect:  // it may yet speak up, and its duties are its own until then
+      return;
+    default:
+      return ToProbing(duties::MemberCame{e.member.name, e.member.weight});
+  }
+}
+
+void Cluster::Do(membership::RumorHeard&& e) {
+  if (!probing_) return;
+  auto result = duties::DecodeResult(e.rumor.key, e.rumor.body);
+  if (!result) {
+    ++malformed_;
+    return;
+  }
+  ToProbing(duties::ResultHeard{std::move(*result)});
+}
+
+void Cluster::Do(membership::DirectHeard&& e) {
+  auto message = duties::DecodeMessage(e.body);
+  const auto lease = message ? leases_.find(message->duty) : leases_.end();
+  if (lease == leases_.end()) {
+    ++malformed_;
+    return;
+  }
+  ToLease(&lease->second, duties::LeaseHeard{e.from, std::move(message->message)});
+}
+
+void Cluster::Do(duties::StartProbe&& e) {
+  effects_->push_back(Probe{e.number, std::move(e.worker), std::move(e.address)});
+}
+
+void Cluster::Do(duties::TellAll&& e) {
+  ToMembership(membership::SpreadAsked{{e.result.worker, duties::EncodeResult(e.result)}});
+}
+
+void Cluster::Do(duties::TellModule&& e) { effects_->push_back(Result{std::move(e.result)}); }
+
+}  // namespace aldersill::cluster
--- /dev/null
+++ b/src/cluster/objects.cpp
@@ -0,0 +1,97 @@
+#include "cluster/objects.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace aldersill::cluster {
+
+using membership::State;
+
+const char* Name(State state) {
+  constexpr const char* kNames[] = {"alive", "suspect", "dead", "left"};
+  return kNames[static_cast<std::size_t>(state)];
+}
+
+const char* Name(membership::MemberNews::What what) {
+  constexpr const char* kNames[] = {"joined", "restarted", "suspect", "alive", "dead", "left"};
+  return kNames[static_cast<std::size_t>(what)];
+}
+
+nlohmann::json MembersAsJson(const Cluster* core) {
+  if (core == nullptr) return {{"enabled", false}};
+  nlohmann::json members = nlohmann::json::array();
+  for (const auto& [name, said] : core->members().View()) {
+    members.push_back({{"name", name},
+                       {"address", said.address},
+                       {"state", Name(said.state)},
+                       {"epoch", said.incarnation.epoch},
+                       {"turn", said.incarnation.turn},
+                       {"weight", said.weight},
+                       {"self", name == core->members().settings().name}});
+  }
+  return {{"enabled", true}, {"health", core->members().health()}, {"members", std::move(members)}};
+}
+
+nlohmann::json DutiesAsJson(const Cluster* core, Micros now) {
+  if (core == nullptr) return {{"enabled", false}};
+  nlohmann::json json = {{"enabled", true}, {"probing", nullptr}, {"exclusive", nlohmann::json::array()}};
+  if (const duties::ProbeSharing* probing = core->probing()) {
+    const duties::ProbeCounters& c = probing->counters();
+    json["probing"] = {{"owned", probing->owned()},
+                       {"workers", probing->workers()},
+                       {"started", c.started},
+                       {"takeovers", c.takeovers},
+                       {"heard", c.heard},
+                       {"overdue", c.overdue},
+                       {"slept_through", c.slept_through}};
+  }
+  for (const auto& [duty, lease] : core->leases()) {
+    const auto term = lease.Holds(now);
+    const auto believed = lease.Believed(now);
+    json["exclusive"].push_back({{"duty", duty},
+                                 {"held", term.has_value()},
+                                 {"term", term.value_or(0)},
+                                 {"holder", believed ? believed->name : ""}});
+  }
+  return json;
+}
+
+void AddObjects(const Cluster& core, const membership::TransportCounters& t, const membership::Sealer& sealer,
+                Micros now, snmp::ObjectMap* objects) {
+  std::array<std::uint32_t, 4> by_state{};
+  for (const auto& [name, said] : core.members().View()) ++by_state[static_cast<std::size_t>(said.state)];
+  std::uint64_t column = 0;
+  const auto scalar = [&](snmp::Value value) { (*objects)[{5, ++column, 0}] = std::move(value); };
+  for (const std::uint32_t members : by_state) scalar(snmp::Gauge{members});
+  const membership::Counters& m = core.members().counters();
+  scalar(snmp::Gauge{static_cast<std::uint32_t>(core.members().health())});
+  for (const std::uint64_t count :
+       {m.probes, m.probes_failed, m.suspicions, m.refutations, m.deaths, m.deaths_refuted, m.pauses})
+    scalar(snmp::Counter{count});
+  const duties::ProbeSharing* probing = core.probing();
+  const duties::ProbeCounters c = probing != nullptr ? probing->counters() : duties::ProbeCounters{};
+  scalar(snmp::Gauge{static_cast<std::uint32_t>(probing != nullptr ? probing->owned() : 0)});
+  scalar(snmp::Gauge{static_cast<std::uint32_t>(probing != nullptr ? probing->workers() : 0)});
+  for (const std::uint64_t count : {c.started, c.takeovers, c.heard}) scalar(snmp::Counter{count});
+  std::uint32_t held = 0;
+  std::uint64_t taken = 0, lost = 0;
+  for (const auto& [duty, lease] : core.leases()) {
+    held += lease.Holds(now).has_value();
+    taken += lease.counters().taken;
+    lost += lease.counters().lost;
+  }
+  scalar(snmp::Gauge{held});
+  scalar(snmp::Counter{taken});
+  scalar(snmp::Counter{lost});
+  for (const std::uint64_t count : {t.sent, t.sent_bytes, t.received, t.received_bytes, t.unsent})
+    scalar(snmp::Counter{count});
+  // Datagrams dropped, by why.
+  const auto& dropped = sealer.dropped();
+  for (std::size_t i = 0; i < dropped.size(); ++i) {
+    (*objects)[{6, 1, 2, i + 1}] = std::string(membership::Name(static_cast<membership::Dropped>(i)));
+    (*objects)[{6, 1, 3, i + 1}] = snmp::Counter{dropped[i]};
+  }
+}
+
+}  // namespace aldersill::cluster
--- /dev/null
+++ b/src/cluster/objects.h
@@ -0,0 +1,24 @@
+// What is shown of the cluster: to `aldersill members` and `duties`, and in the MIB.
+#ifndef ALDERSILL_SRC_CLUSTER_OBJECTS_H_
+#define ALDERSILL_SRC_CLUSTER_OBJECTS_H_
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "cluster/cluster.h"
+#include "membership/transport.h"
+#include "snmp/objects.h"
+
+namespace aldersill::cluster {
+
+const char* Name(membership::State state);
+const char* Name(membership::MemberNews::What what);
+
+// `core`: null where membership is off, which both say.
+nlohmann::json MembersAsJson(const Cluster* core);
+nlohmann::json DutiesAsJson(const Cluster* core, Micros now);
+void AddObjects(const Cluster& core, const membership::TransportCounters& wire,
+                const membership::Sealer& sealer, Micros now, snmp::ObjectMap* objects);
+
+}  // namespace aldersill::cluster
+
+#endif  // ALDERSILL_SRC_CLUSTER_OBJECTS_H_
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -75,11 +75,83 @@
   v.Whole("burst", s.burst, 1, 100'000);
 }
 
+template <typename V>
+void Describe(V& v, ControlSettings& s) {
+  v.Text("socket", s.socket);
+}
+
+template <typename V>
+void Describe(V& v, MembershipSettings& s) {
+  membership::Settings& c = s.core;
+  v.Flag("enabled", s.enabled);
+  v.Address("listen", s.listen, Where::kAnywhere);  // each datagram is authenticated
+  v.Text("advertise", s.advertise);
+  v.Check(s.advertise.empty() || ParseEndpoint(s.advertise).has_value(), "advertise",
+          "must be address:port, not '" + s.advertise + "'");
+  v.Text("key_file", s.key_file);
+  v.Check(!s.enabled || !s.key_file.empty(), "key_file", "is missing: membership needs a key");
+  v.Texts("join", c.join, 16);
+  for (const std::string& address : c.join)
+    v.Check(ParseEndpoint(address).has_value(), "join", "must hold address:port, not '" + address + "'");
+  int weight = static_cast<int>(c.weight);
+  v.Whole("weight", weight, 0, 10'000);
+  c.weight = static_cast<std::uint32_t>(weight);
+  v.Millis("probe_interval_ms", c.probe_interval, 50, 60'000);
+  v.Millis("probe_timeout_ms", c.probe_timeout, 10, 60'000);
+  v.Check(c.probe_timeout < c.probe_interval, "probe_timeout_ms", "must be less than probe_interval_ms");
+  v.Whole("indirect_probes", c.indirect_probes, 0, 16);
+  v.Whole("suspicion_rounds", c.suspicion_rounds, 1, 100);
+  v.Whole("suspicion_most", c.suspicion_most, 1, 100);
+  v.Whole("confirmations", c.confirmations, 0, 16);
+  v.Millis("gossip_interval_ms", c.gossip_interval, 10, 60'000);
+  v.Whole("gossip_fanout", c.gossip_fanout, 1, 16);
+  v.Whole("gossip_burst", c.gossip_burst, 0, 256);
+  v.Whole("retransmissions", c.retransmissions, 1, 32);
+  v.Whole("rumor_times", c.rumor_times, 1, 32);
+  v.Millis("compare_interval_ms", c.compare_interval, 100, 3'600'000);
+  v.Millis("dead_kept_ms", c.dead_kept, 1'000, 604'800'000);
+  v.Whole("health_most", c.health_most, 0, 32);
+  int datagram = static_cast<int>(c.datagram), members = static_cast<int>(c.most_members);
+  v.Whole("datagram_bytes", datagram, 512, 8'000);
+  v.Whole("most_members", members, 2, 100'000);
+  c.datagram = static_cast<std::size_t>(datagram);
+  c.most_members = static_cast<std::size_t>(members);
+}
+
+template <typename V>
+void Describe(V& v, duties::ProbeSettings& s) {
+  v.Millis("interval_ms", s.interval, 100, 3'600'000);
+  v.Millis("timeout_ms", s.timeout, 10, 600'000);
+  v.Check(2 * s.timeout <= s.interval, "timeout_ms", "must be at most half of interval_ms");
+  v.Whole("most_out", s.most_out, 1, 10'000);
+}
+
+template <typename V>
+void Describe(V& v, DutiesSettings& s) {
+  v.Flag("probing", s.probing);
+  v.Section("probes", s.probes);
+  v.Texts("exclusive", s.exclusive, 64);
+  v.Texts("voters", s.voters, 15);
+  v.Check(s.exclusive.empty() || s.voters.size() >= 3, "voters",
+          "must name at least three instances where a duty is exclusive");
+  v.Check(std::set<std::string>(s.voters.begin(), s.voters.end()).size() == s.voters.size(), "voters",
+          "must name each instance once");
+  v.Check(std::set<std::string>(s.exclusive.begin(), s.exclusive.end()).size() == s.exclusive.size(),
+          "exclusive", "must name each duty once");
+  v.Millis("lease_ms", s.lease, 1'000, 3'600'000);
+  v.Real("most_drift", s.most_drift, 0.0, 0.2);
+}
+
 template <typename V>
 void Describe(V& v, OperatorSettings& s) {
   v.Section("faktory", s.faktory);
   v.Section("snmp", s.snmp);
   v.Section("logging", s.logging);
+  v.Section("control", s.control);
+  v.Section("membership", s.membership);
+  v.Section("duties", s.duties);
+  v.Check(s.membership.enabled || (!s.duties.probing && s.duties.exclusive.empty()), "duties",
+          "need membership.enabled");
 }
 
 // ---- Reading ----
--- a/src/config/operator_settings.h
+++ b/src/config/operator_settings.h
@@ -3,8 +3,13 @@
 #ifndef ALDERSILL_SRC_CONFIG_OPERATOR_SETTINGS_H_
 #define ALDERSILL_SRC_CONFIG_OPERATOR_SETTINGS_H_
 
+#include <string>
+#include <vector>
+
 #include "core/types.h"
+#include "duties/probe_sharing.h"
 #include "log/log.h"
+#include "membership/settings.h"
 #include "net/endpoint.h"
 
 namespace aldersill {
@@ -25,10 +30,36 @@
   bool operator==(const SnmpSettings&) const = default;
 };
 
+struct MembershipSettings {
+  bool enabled = false;
+  Endpoint listen{"127.0.0.1", 7946};  // UDP
+  std::string advertise;               // where the others reach it; empty: where it listens
+  std::string key_file;                // membership/sealer.h tells its form
+  membership::Settings core;
+  bool operator==(const MembershipSettings&) const = default;
+};
+
+struct DutiesSettings {
+  bool probing = false;  // each worker probed by one instance, which tells the others
+  duties::ProbeSettings probes;
+  std::vector<std::string> exclusive;  // duties that one instance at a time holds
+  std::vector<std::string> voters;     // names of the instances that decide on them
+  Micros lease = 10 * kSecond;
+  double most_drift = 0.01;  // of a clock's rate
+  bool operator==(const DutiesSettings&) const = default;
+};
+
+struct ControlSettings {
+  std::string socket;  // path of a Unix socket; empty: none
+};
+
 struct OperatorSettings {
   FaktorySettings faktory;
   SnmpSettings snmp;
   LogSettings logging;
+  ControlSettings control;
+  MembershipSettings membership;
+  DutiesSettings duties;
 };
 
 }  // namespace aldersill
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -19,6 +19,8 @@
   parts.push_back(MakePlatformPart(surroundings));
   parts.push_back(MakeFaktoryPart(surroundings));
   parts.push_back(MakeSnmpPart(surroundings));
+  parts.push_back(MakeClusterPart(surroundings));
+  parts.push_back(MakeControlPart(surroundings));
   return parts;
 }
 
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <sstream>
 
+#include "cluster/objects.h"
 #include "core/reducer.h"
 #include "snmp/objects.h"
 
@@ -236,9 +237,12 @@
 TEST_CASE("the agent shows what the MIB file describes, no more and no less") {
   Bench b;
   std::set<snmp::ObjectId> shown;
-  for (const auto& [id, value] : snmp::Objects(b.core().counters()))
+  snmp::ObjectMap objects = snmp::Objects(b.core().counters());
+  cluster::Cluster cluster({}, 1);
+  cluster::AddObjects(cluster, {}, membership::Sealer({membership::Key{}}, 1), kStart, &objects);
+  for (const auto& [id, value] : objects)
     shown.insert(snmp::ObjectId(id.begin(), id.end() - 1));  // less the index, or a scalar's 0
-  CHECK(shown.size() == 17);
+  CHECK(shown.size() == 17 + 25 + 2);
   CHECK(shown == ObjectsOfMib());
 }
 
