--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -88,6 +88,8 @@
   v.Text("advertise", s.advertise);
   v.Check(s.advertise.empty() || ParseEndpoint(s.advertise).has_value(), "advertise",
           "must be address:port, not '" + s.advertise + "'");
+  v.Check(!s.advertise.empty() || s.listen.host != "0.0.0.0", "advertise",
+          "is missing: others cannot reach 0.0.0.0");
   v.Text("key_file", s.key_file);
   v.Check(!s.enabled || !s.key_file.empty(), "key_file", "is missing: membership needs a key");
   v.Texts("join", c.join, 16);
--- a/src/daemon/cluster_part.cpp
+++ b/src/daemon/cluster_part.cpp
@@ -9,6 +9,7 @@
 #include "daemon/parts.h"
 #include "log/log.h"
 #include "membership/transport.h"
+#include "net/message_pack.h"
 
 namespace aldersill {
 namespace {
@@ -44,6 +45,9 @@
     duties_ = c.own.duties;
     Offer();
     if (!membership_.enabled) return;
+    if (c.name.empty() || c.name.size() > kMostMessageName)
+      throw ConfigError("name must have 1 to " + std::to_string(kMostMessageName) +
+                        " bytes where membership is on");
     transport_ = std::make_unique<membership::Transport>(
         around_.base, membership_.listen, membership::ReadKeys(membership_.key_file), around_.now,
         [this](std::string address, membership::Packet packet) {
@@ -86,7 +90,13 @@
 
  private:
   void Offer() {
-    around_.offers->questions["members"] = [this] { return cluster::MembersAsJson(core_.get()).dump(); };
+    around_.offers->questions["members"] = [this] {
+      nlohmann::json json = cluster::MembersAsJson(core_.get());
+      for (std::size_t i = 0; transport_ != nullptr && i < transport_->sealer().dropped().size(); ++i)
+        json["dropped"][membership::Name(static_cast<membership::Dropped>(i))] =
+            transport_->sealer().dropped()[i];
+      return json.dump();
+    };
     around_.offers->questions["duties"] = [this] {
       return cluster::DutiesAsJson(core_.get(), around_.now()).dump();
     };
--- a/tests/daemon/cluster_test.cpp
+++ b/tests/daemon/cluster_test.cpp
@@ -318,6 +318,12 @@
     const std::string bytes(static_cast<std::size_t>(i % 1'500), static_cast<char>(i));
     sendto(stranger.fd(), bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
   }
+  // Before the decoder sees any of it, by why.
+  Await("they are counted", [&] {
+    const nlohmann::json dropped = trio.Ask(0, "members").at("dropped");
+    return dropped.at("truncated") > 0 && dropped.at("format") > 0;
+  });
+  CHECK(trio.Ask(0, "members").at("dropped").at("malformed") == 0);
   Await("it goes on as before", [&] { return trio.AllAlive(); });
   trio.daemon(0).Signal(SIGTERM);
   CHECK(trio.daemon(0).Wait() == 0);
--- a/tools/virtual_cluster/cluster_scale.cpp
+++ b/tools/virtual_cluster/cluster_scale.cpp
@@ -24,7 +24,7 @@
   double packets_s = 0, bytes_s = 0;            // sent by an instance, sealed
   double bare_packets_s = 0, bare_bytes_s = 0;  // by membership alone
   double detection_median_s = 0, detection_p99_s = 0;
-  double false_suspicions = 0;  // an instance's, an hour
+  double false_suspicions = 0;  // of a living member, as one other sees it, an hour
   double false_deaths = 0;
   double takeover_median_s = 0, takeover_worst_s = 0;
   double wall_s = 0;
@@ -91,8 +91,9 @@
     if (bare) return;
     row->probes_per_worker_s = static_cast<double>(probes) / plan_.workers / plan_.window_s;
     row->probes_unshared = n * 1e6 / static_cast<double>(plan_.interval);
-    row->false_suspicions = static_cast<double>(suspects) * each * 3'600;
-    row->false_deaths = static_cast<double>(deaths) * each * 3'600;
+    const double pairs = static_cast<double>(n) * (n - 1) * plan_.window_s / 3'600.0;
+    row->false_suspicions = static_cast<double>(suspects) / pairs;
+    row->false_deaths = static_cast<double>(deaths) / pairs;
   }
 
   // One dies, is found out, its workers are taken over; it comes back, and another dies.
@@ -172,7 +173,7 @@
   std::printf(
       "| instances | loss | probes/s a worker (unshared) | packets/s, KB/s an instance | of these membership "
       "alone | "
-      "detection s: median, p99 | takeover s: median, worst | false suspicions, deaths an instance and hour "
+      "detection s: median, p99 | takeover s: median, worst | false suspicions, deaths of a member an hour "
       "|\n"
       "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
   std::ofstream out;
