--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -368,10 +368,10 @@
 OperatorSettings ReadOperatorFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) throw ConfigError(path + ":1: the file cannot be read");
+  // In parts: a buffer of the most there may be would cost its pages at each start and SIGHUP.
   std::string text;
-  text.resize(kMostBytes + 1);
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(file.gcount()));
+  for (char part[4096]; text.size() <= kMostBytes && (file.read(part, sizeof(part)), file.gcount() > 0);)
+    text.append(part, static_cast<std::size_t>(file.gcount()));
   if (text.size() > kMostBytes) throw ConfigError(path + ":1: the file is longer than 1 MiB");
   return ParseOperatorText(text, path);
 }
--- a/src/duties/lease.h
+++ b/src/duties/lease.h
@@ -6,7 +6,8 @@
 //  - clocks run at rates within `most_drift` of true time. A holder stops 2 * most_drift of the lease early,
 //  so
 //    that it has ended by its own slow clock before it can have ended at any voter by a fast one;
-//  - a round takes answers for a tenth of the lease and no longer, also where the asker stood still meanwhile: a
+//  - a round takes answers for a tenth of the lease and no longer, also where the asker stood still
+//  meanwhile: a
 //    promise of a voter that has restarted since, and forgotten it, must not count (the model found this);
 //  - a voter that starts says nothing for longer than any lease, as it has forgotten what it accepted;
 //  - ballots are above the Unix time in milliseconds, so that terms grow even where all voters have
