--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -47,7 +47,7 @@
        "f:2: membership.advertise is missing: others cannot reach 0.0.0.0"},
       {"membership:\n  probe_interval_ms: 100\n  probe_timeout_ms: 100\n",
        "f:3: membership.probe_timeout_ms must be less than probe_interval_ms"},
-      {"duties:\n  probing: true\n", "f:1: duties need membership.enabled"},
+      {"duties:\n  probing: true\n", "f:2: duties need membership.enabled"},
       {"duties:\n  exclusive: [a]\n  voters: [x, y]\n",
        "f:3: duties.voters must name at least three instances where a duty is exclusive"},
       {"duties:\n  probes: {interval_ms: 1000, timeout_ms: 501}\n",
