--- a/tools/player.cpp
+++ b/tools/player.cpp
@@ -15,14 +15,6 @@
 namespace aldersill::tools {
 namespace {
 
-sockaddr_in Loopback(std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 [[noreturn]] void Throw(const std::string& what) {
   throw std::runtime_error(what + ": " + std::strerror(errno));
 }
@@ -67,6 +59,14 @@
 
 }  // namespace
 
+sockaddr_in Loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
 Socket& Socket::operator=(Socket&& other) noexcept {
   if (this != &other) {
     Close();
--- a/tools/player.h
+++ b/tools/player.h
@@ -3,6 +3,8 @@
 #ifndef ALDERSILL_TOOLS_PLAYER_H_
 #define ALDERSILL_TOOLS_PLAYER_H_
 
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,6 +27,7 @@
   int fd_;
 };
 
+sockaddr_in Loopback(std::uint16_t port);
 // Loopback only: both throw std::runtime_error.
 Socket ListenOn(std::uint16_t port);  // 0: the kernel chooses
 Socket ConnectTo(std::uint16_t port);
--- a/tools/udp_relay.cpp
+++ b/tools/udp_relay.cpp
@@ -8,18 +8,6 @@
 #include <stdexcept>
 
 namespace aldersill::tools {
-namespace {
-
-sockaddr_in Loopback(std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
-}  // namespace
-
 UdpRelay::UdpRelay(int instances) : real_(static_cast<std::size_t>(instances), 0) {
   for (int i = 0; i < instances; ++i) {
     Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
