Spread calls to discovery over what all dispatchers need, and wait for their turn

Checked: renewals of a watch that is on do not fail (100 in 2 s, none), so its 2 s wait is not the cause. Answers that come take a multiple of 50 ms: about 20 calls a second in all. Calls given up by us after 1 s (Discovery::Call, kPatience) are worked on all the same; with 4 s but no spreading a wave of 55 was answered 503 after 2 s each, one and all, three times in a row: the queue held only calls that were dead before their turn.

At fault: kPatience for a call that begins a watch; the module's first call within 0.1 s and its repeats within 0.3 s, alike at 3 dispatchers and at 100.

Change: CallPacing (network code, pure) says when a call may be made.

--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -23,6 +23,11 @@
   return s;
 }
 
+// What a discovery that has moved has to tell counts as told 4 s after SIGHUP.
+constexpr Micros kMovedWithin = kSecond;
+
+CallPacing Pacing(const Config& c, Micros longest) { return {c.module.nodes, longest, c.seed}; }
+
 class PlatformPart : public Part, public ExecutionRunner, public ClientDoor {
  public:
   explicit PlatformPart(const Surroundings& around) : around_(around) {}
@@ -31,7 +36,8 @@
     instances_ =
         std::make_unique<InstanceLink>(around_.base, c.dial_timeout, Shares(c).instances, around_.sink);
     if (c.discovery)
-      discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, c.known_version, around_.sink);
+      discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, c.known_version,
+                                               Pacing(c, c.module.must_ask_in / 2), around_.sink);
     clients_ = std::make_unique<ClientFront>(around_.base, c.listen, ForClients(c), around_.sink);
     listen_ = c.listen;
     discovered_at_ = c.discovery;
@@ -73,7 +79,8 @@
         {{"address", c.discovery ? ToText(*c.discovery) : std::string("none")}});
     if (!c.discovery) return;
     // Its versions are its own: the whole list first, and until then the workers that are known serve on.
-    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt, around_.sink);
+    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt, Pacing(c, kMovedWithin),
+                                             around_.sink);
     discovery_->Watch();
   }
 
--- /dev/null
+++ b/src/http/call_pacing.h
@@ -0,0 +1,50 @@
+// When a dispatcher may call discovery. Discovery is one service for all dispatchers and works through calls in
+// turn, those too whose caller has given up by now: dispatchers that start or lose their watch together, and all
+// call at once, fill it with calls that are dead before their turn comes, and their repeats keep it full. Pure:
+// no clock, no socket.
+#ifndef ALDERSILL_SRC_HTTP_CALL_PACING_H_
+#define ALDERSILL_SRC_HTTP_CALL_PACING_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+
+#include "core/types.h"
+
+namespace aldersill {
+
+class CallPacing {
+ public:
+  // `dispatchers`: that call the same discovery, this one included. `longest`: no first call and no repeat is put
+  // off for longer, in microseconds. `seed`: must differ between dispatchers, or they call in step.
+  CallPacing(int dispatchers, Micros longest, std::uint64_t seed)
+      : spread_(std::clamp<Micros>(dispatchers * kCallTime, 1, std::max<Micros>(longest, 1))),
+        longest_(std::max(spread_, std::min(longest, kLongestBackOff))),
+        random_(seed) {}
+
+  // Before a call that nothing failed before: at a start, or when a watch has broken for all at once.
+  Micros BeforeFirst() { return Draw(0, spread_); }
+  // Before the repeat of a failed call: twice as long for each failure in a row, never at once.
+  Micros AfterFailure() {
+    back_off_ = std::clamp(2 * back_off_, spread_, longest_);
+    return Draw(back_off_ / 4, back_off_);
+  }
+  void Succeeded() { back_off_ = 0; }
+
+ private:
+  // What discovery may need for one call, as an operator would size it: all dispatchers' calls one after
+  // another.
+  static constexpr Micros kCallTime = 60 * kMillisecond;
+  static constexpr Micros kLongestBackOff = 5 * kSecond;
+
+  Micros Draw(Micros from, Micros to) { return std::uniform_int_distribution<Micros>(from, to)(random_); }
+
+  const Micros spread_;
+  const Micros longest_;
+  Micros back_off_ = 0;
+  std::mt19937_64 random_;
+};
+
+}  // namespace aldersill
+
+#endif  // ALDERSILL_SRC_HTTP_CALL_PACING_H_
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -19,19 +20,28 @@
 constexpr Micros kWait = 2 * kSecond;
 // What it may take beyond its wait: news counts as told 2 s after that, whether it came or not.
 constexpr Micros kPatience = kSecond;
+// What a call that begins a watch may take. Discovery lets it wait for its turn for seconds, and works on it even
+// when we have given up: one given up early is made anew, and adds to the queue that it waited in.
+constexpr Micros kBeginPatience = 4 * kSecond;
 constexpr std::size_t kMostBody = 4 << 20;
 
 }  // namespace
 
 Discovery::Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
-                     EventSink* sink)
-    : base_(base), endpoint_(endpoint), sink_(sink), version_(known_version) {
+                     CallPacing pacing, EventSink* sink)
+    : base_(base),
+      endpoint_(endpoint),
+      sink_(sink),
+      pacing_(std::move(pacing)),
+      version_(known_version) {
+  call_from_ = SteadyNow() + pacing_.BeforeFirst();
   overdue_ = std::make_unique<Timer>(base_, [this] {
     if (out_ != nullptr) evhttp_cancel_request(std::exchange(out_, nullptr));
     Fail("call overdue");
   });
   // Not from within evhttp's callback, which is not done with the connection yet.
   renew_ = std::make_unique<Timer>(base_, [this] { Call(kWait); });
+  begin_ = std::make_unique<Timer>(base_, [this] { Call(0); });  // what was missed comes at once
 }
 Discovery::~Discovery() {
   // Freeing the connection must not tell of the end of a call that nobody waits for any more.
@@ -40,10 +50,12 @@
 
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;
-  Call(0);  // what was missed comes at once, and the watch goes on from there
+  begin_->Set(std::max<Micros>(0, call_from_ - SteadyNow()));
 }
 
 void Discovery::Call(Micros wait) {
+  called_at_ = SteadyNow();
+  called_wait_ = wait;
   if (connection_ == nullptr) {
     connection_.reset(evhttp_connection_base_new(base_, nullptr, endpoint_.host.c_str(), endpoint_.port));
     if (connection_ == nullptr) return Fail("no connection");
@@ -58,7 +70,7 @@
   if (version_)
     path += "?index=" + std::to_string(*version_) + "&wait=" + std::to_string(wait / kMillisecond);
   out_ = request;
-  overdue_->Set(wait + kPatience);
+  overdue_->Set(wait + (wait > 0 ? kPatience : kBeginPatience));
   // On failure evhttp frees the request and calls nobody.
   if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0) {
     out_ = nullptr;
@@ -89,7 +101,15 @@
   }
   // Changes to a list that we do not have.
   if (!message.full && !version_) return Fail("changes came before the whole list");
+  Log(LogLevel::kDebug, "discovery_answered",
+      {{"wait_ms", called_wait_ / kMillisecond},
+       {"took_ms", (SteadyNow() - called_at_) / kMillisecond},
+       {"whole", message.full},
+       {"entries", message.instances.size()},
+       {"version", message.version}});
   version_ = message.version;
+  pacing_.Succeeded();
+  continuing_ = true;
   const evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get()));
   const int on = 1;
   if (fd >= 0) setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -100,10 +120,15 @@
 }
 
 void Discovery::Fail(const char* why) {
-  Log(LogLevel::kWarning, "discovery_failed", {{"why", why}});
+  Log(LogLevel::kWarning, "discovery_failed",
+      {{"why", why},
+       {"wait_ms", called_wait_ / kMillisecond},
+       {"took_ms", (SteadyNow() - called_at_) / kMillisecond}});
   overdue_->Clear();
   renew_->Clear();
   watching_ = false;
+  // A watch that was on broke for all dispatchers together, as when discovery restarts.
+  call_from_ = SteadyNow() + (std::exchange(continuing_, false) ? pacing_.BeforeFirst() : pacing_.AfterFailure());
   sink_->Tell(NameTableFailed{});
 }
 
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/types.h"
+#include "http/call_pacing.h"
 #include "net/event_loop.h"
 
 namespace aldersill {
@@ -14,12 +15,13 @@
 class Discovery {
  public:
   // `known_version`: of the list that is known already; none where it came from elsewhere, so that the first
-  // news must be the whole list.
+  // news must be the whole list. `pacing`: when calls may be made.
   Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
-            EventSink* sink);
+            CallPacing pacing, EventSink* sink);
   ~Discovery();
 
-  // Begins a watch, unless one is on. What it brings is told as it comes; its end is told once.
+  // Begins a watch when the pacing allows the call, unless one is on. What it brings is told as it comes; its
+  // end is told once.
   void Watch();
 
  private:
@@ -34,9 +36,14 @@
   EventPtr<evhttp_connection> connection_;
   std::unique_ptr<Timer> overdue_;
   std::unique_ptr<Timer> renew_;
+  std::unique_ptr<Timer> begin_;
+  CallPacing pacing_;
+  Micros called_at_ = 0, called_wait_ = 0;  // the last call, for the log
+  Micros call_from_ = 0;  // by the steady clock: no call that begins a watch is made before
   evhttp_request* out_ = nullptr;
   std::optional<std::uint64_t> version_;
-  bool watching_ = false;
+  bool watching_ = false;    // asked for, and not yet ended
+  bool continuing_ = false;  // a call of this watch has been answered
 };
 
 }  // namespace aldersill
