Let a bank hold eight jobs however slowly its tokens come

Checked: no 'full' and no late start came before the first refusals, so the rate R had not fallen. By tenant the refusals follow how slowly its tokens come: with 100 dispatchers one of 8 % has a token every ten seconds, a bank of one token, and half of that at the start; a job then waits in the buffer for half its target and is refused. At three quarters of its tokens' rate a throttle that holds two jobs loses a tenth by chance alone; what counts is its capacity in jobs, not in seconds. At fault: BankSize, a second's tokens and their swing.

--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -27,6 +27,10 @@
 constexpr double kLearn = 0.05;        // weight of a new sample in pooled averages: about the last 20 samples
 constexpr double kLearnWorker = 0.25;  // and of one worker, of which a node sees few
 constexpr double kForget = 10.0 * kSecond;  // evidence on one worker fades to its peers' average over this
+// Jobs that a bank holds however slowly its tokens come. What a throttle turns away by chance depends on its
+// capacity in jobs, not in seconds: at three quarters of its tokens' rate one that holds two loses a
+// tenth, one that holds eight a hundredth. One node of a hundred has a tenant's token every ten seconds.
+constexpr double kBankJobs = 8.0;
 constexpr int kSampled = 2;  // workers looked at per pool: the load of a choice does not grow with the fleet
 constexpr double kCopyShare = 0.2;  // second copies per request, at most
 // Runs lost where a key's data is not at hand: the job's own, those behind it, and those whose data goes.
@@ -97,10 +101,11 @@
     return std::max(1.0, fleet_.ready_slots() * kSecond / mean_job_ * mean_tokens_ / s_.nodes);
   }
 
-  // C_T: a second of the tenant's tokens and their usual swing. C_J: what they pay while a job may be held,
-  // small as the paper's section 6 advises. Either holds the widest job.
+  // C_T: some jobs, a second of the tenant's tokens and their usual swing. C_J: what they pay while a job may
+  // be held, small as the paper's section 6 advises. Either holds the widest job.
   int BankSize(const Tenant& t) const {
-    return t.widest + static_cast<int>(t.share * rate_ + 2.0 * std::sqrt(t.share * rate_));
+    const double in_a_second = t.share * rate_;
+    return t.widest + static_cast<int>(kBankJobs * mean_tokens_ + in_a_second + 2.0 * std::sqrt(in_a_second));
   }
   int BufferSize(const Tenant& t) const {
     return std::max(t.widest, static_cast<int>(t.share * rate_ * shortest_target_ / 2.0 / kSecond));
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -494,5 +494,33 @@
   EXPECT_LE(to_dead, 40);
 }
 
+// Of a hundred nodes each turned away a third of its jobs at the start and a tenth later, beside idle workers: a
+// tenant's bank held one job or two, and its tokens came every ten seconds.
+TEST(Failures, ANodeOfManyTurnsAwayFewJobsByChanceAlone) {
+  int refused = 0, jobs = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Settings s = BasicSettings();
+    s.nodes = 100;
+    s.second_copies = false;
+    s.tenants.clear();
+    for (int t = 0; t < 6; ++t) s.tenants.push_back({"t" + std::to_string(t), 1.0, 20.0});
+    Driver d(s, seed);
+    d.List({Entry("a"), Entry("b")});
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(0.9);  // jobs a second, of the 1.2 that the quotas leave this node
+    for (int id = 1; id <= 60; ++id, ++jobs) {
+      d.Advance(d.now + static_cast<Micros>(gap(random) * kSecond));
+      const auto actions =
+          d.Arrive(id, "unsafe", 5 * kSecond, 1, "t" + std::to_string(random() % s.tenants.size()));
+      if (Count<Send>(actions) == 0) continue;
+      d.Start(id, 0);
+      d.End(id, 0, Outcome::kServed, true);
+    }
+    d.Advance(d.now + 5 * kSecond);
+    refused += Count<Refuse>(d.all);
+  }
+  EXPECT_LT(refused, jobs / 100) << "of " << jobs;
+}
+
 }  // namespace
 }  // namespace pulleyrouter::testing
