Sample workers by the weights that the name table tells

Checked: the list tells weight 4.5 for tipo-grande and 1.5 for tipo-chico, and the module read it and used it nowhere. So a small worker was sent as much as a large one of three times its size: at 58 % load over all that is more than the small ones can do. At fault: Pick's `look`, uniform over a pool.

Change: pools hold sums of their weights, and a sample is spread evenly over those. Costs are compared as before.

The new test sends half to the large ones without the change, where their weights are three quarters.

--- a/src/pulleyrouter/fleet.cpp
+++ b/src/pulleyrouter/fleet.cpp
@@ -92,7 +92,7 @@
   return slots;
 }
 
-const Fleet::Pool& Fleet::InCell(int cell) const {
+const Pool& Fleet::InCell(int cell) const {
   static const Pool kEmpty;
   const auto found = by_cell_.find(cell);
   return found == by_cell_.end() ? kEmpty : found->second;
@@ -101,7 +101,7 @@
 int Fleet::OnRing(const Pool& pool, std::uint64_t place) const {
   const auto found = std::lower_bound(pool.begin(), pool.end(), place,
                                       [this](int w, std::uint64_t p) { return workers_[w].place < p; });
-  return found == pool.end() ? pool.front() : *found;
+  return found == pool.end() ? *pool.begin() : *found;
 }
 
 void Fleet::Index() {
@@ -109,7 +109,7 @@
   by_zone_.assign(kinds_.size(), std::vector<Pool>(zones_.size()));
   by_cell_.clear();
   ready_.assign(kinds_.size(), 0);
-  Pool order;
+  std::vector<int> order;
   for (int i = 0; i < static_cast<int>(workers_.size()); ++i) {
     if (workers_[i].state == WorkerEntry::State::kReady) order.push_back(i);
   }
@@ -117,12 +117,12 @@
     return std::tie(workers_[a].place, workers_[a].name) < std::tie(workers_[b].place, workers_[b].name);
   });
   const auto list = [this](int i, int kind) {
-    all_[kind].push_back(i);
-    by_zone_[kind][workers_[i].zone].push_back(i);
+    all_[kind].Add(i, workers_[i].weight);
+    by_zone_[kind][workers_[i].zone].Add(i, workers_[i].weight);
   };
   for (const int i : order) {
     ++ready_[workers_[i].kind];
-    by_cell_[workers_[i].cell].push_back(i);
+    by_cell_[workers_[i].cell].Add(i, workers_[i].weight);
     list(i, 0);  // any kind
     if (workers_[i].kind != 0) list(i, workers_[i].kind);
   }
--- a/src/pulleyrouter/fleet.h
+++ b/src/pulleyrouter/fleet.h
@@ -17,9 +17,31 @@
 // The value for a name, or `none`.
 int Lookup(const std::unordered_map<std::string, int>& map, const std::string& name, int none);
 
+// Ready workers, in the order of their places on the ring.
+class Pool {
+ public:
+  void Add(int index, double weight) {
+    workers_.push_back(index);
+    up_to_.push_back((up_to_.empty() ? 0.0 : up_to_.back()) + std::max(weight, 1e-6));
+  }
+  bool empty() const { return workers_.empty(); }
+  std::size_t size() const { return workers_.size(); }
+  int operator[](std::size_t at) const { return workers_[at]; }
+  auto begin() const { return workers_.begin(); }
+  auto end() const { return workers_.end(); }
+  // The one at this share of the weights' sum, 0 to 1; the pool must not be empty.
+  int AtShare(double share) const {
+    const auto found = std::upper_bound(up_to_.begin(), up_to_.end(), share * up_to_.back());
+    return workers_[std::min<std::size_t>(found - up_to_.begin(), workers_.size() - 1)];
+  }
+
+ private:
+  std::vector<int> workers_;
+  std::vector<double> up_to_;  // sums of the weights
+};
+
 class Fleet {
  public:
-  using Pool = std::vector<int>;  // ready workers, in the order of their places on the ring
 
   explicit Fleet(const Settings& settings);
 
@@ -42,7 +64,7 @@
   void NoteSent(int index, int slots, const std::optional<std::uint64_t>& key);
   void NoteEnded(int index, int slots);
   void NoteHeard(int index, std::size_t most);
-  const Pool& heard() const { return heard_; }  // the last to report, the latest first
+  const std::vector<int>& heard() const { return heard_; }  // the last to report, the latest first
   double mean_ours() const { return 1.0 * ours_ / std::max(1, ready()); }
 
   int home() const { return home_; }  // this node's zone
@@ -70,7 +92,7 @@
   std::vector<Pool> all_;
   std::vector<std::vector<Pool>> by_zone_;
   std::unordered_map<int, Pool> by_cell_;
-  Pool heard_;
+  std::vector<int> heard_;
   int ours_ = 0;  // slots of our attempts, over all workers
   int home_ = 0;
 };
--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -463,34 +463,37 @@
     const int away = (fleet_.home() + 1 + random_.Draw(fleet_.zones() - 1)) % fleet_.zones();
     int best = kNone;
     double best_cost = 0.0;
-    const auto look = [&](const Fleet::Pool& pool, std::size_t looks, bool gently, std::size_t homes) {
-      const std::size_t size = homes > 0 ? homes : pool.size();
-      looks = std::min(size, looks);
-      const std::size_t from = random_.Draw(size);
-      for (std::size_t i = 0; i < looks; ++i) {
-        const std::size_t at = (from + i * (size / looks)) % size;
-        const int w = homes > 0 ? fleet_.OnRing(pool, Mix(*r.key + at)) : pool[at];
-        if (!Eligible(w, r, anchor, gently)) continue;
-        Worker& worker = fleet_.worker(w);
-        const double fetch = !r.key || worker.HasKey(*r.key) ? 0.0 : kFetch * (homes > 0 ? 0.5 : 1.0);
-        const double cost = Cost(&worker, r, fetch);
-        if (best != kNone && cost >= best_cost - kTie) continue;
-        best = w;
-        best_cost = cost;
-      }
+    const auto consider = [&](int w, bool gently, double fetches) {
+      if (!Eligible(w, r, anchor, gently)) return;
+      Worker& worker = fleet_.worker(w);
+      const double cost = Cost(&worker, r, !r.key || worker.HasKey(*r.key) ? 0.0 : fetches);
+      if (best != kNone && cost >= best_cost - kTie) return;
+      best = w;
+      best_cost = cost;
+    };
+    // By the weights that the list tells: a node that meets a worker once in minutes never learns its size.
+    const auto look = [&](const Pool& pool, std::size_t looks, bool gently) {
+      looks = std::min(pool.size(), looks);
+      const double from = random_.Uniform();
+      for (std::size_t i = 0; i < looks; ++i)
+        consider(pool.AtShare(std::fmod(from + 1.0 * i / looks, 1.0)), gently, kFetch);
     };
-    const Fleet::Pool& near = !bound                       ? fleet_.InZone(c.kind, fleet_.home())
+    const Pool& near = !bound                       ? fleet_.InZone(c.kind, fleet_.home())
                               : c.scope == KeyScope::kCell ? fleet_.InCell(anchor->cell)
                                                            : fleet_.InZone(c.kind, anchor->zone);
     // Jobs of one key look at the same few on every node, which have its data at hand: twice as many as its
     // share of the traffic fills, or a popular key would swamp them.
-    if (r.key && !bound && !near.empty())
-      look(near, 2 * kSampled, true, 1 + static_cast<std::size_t>(2.0 * keys_.Share(*r.key) * near.size()));
-    look(near, bound ? 4 * kSampled : kSampled, true, 0);
+    if (r.key && !bound && !near.empty()) {
+      const std::size_t homes = 1 + static_cast<std::size_t>(2.0 * keys_.Share(*r.key) * near.size());
+      const std::size_t looks = std::min<std::size_t>(homes, 2 * kSampled), from = random_.Draw(homes);
+      for (std::size_t i = 0; i < looks; ++i)
+        consider(fleet_.OnRing(near, Mix(*r.key + (from + i * (homes / looks)) % homes)), true, kFetch / 2.0);
+    }
+    look(near, bound ? 4 * kSampled : kSampled, true);
     if (bound) return best;
-    look(fleet_.InZone(c.kind, away), kSampled, true, 0);
-    look(fleet_.heard(), 4 * kSampled, true, 0);
-    if (best == kNone) look(fleet_.All(c.kind), 8 * kSampled, false, 0);  // even where connects failed
+    look(fleet_.InZone(c.kind, away), kSampled, true);
+    for (const int w : fleet_.heard()) consider(w, true, kFetch);
+    if (best == kNone) look(fleet_.All(c.kind), 8 * kSampled, false);  // even where connects failed
     return best;
   }
 
@@ -559,7 +562,7 @@
 
   // Where only probes bring reports: one a request, the price is the same at any size; some to other zones.
   void ProbeNext() {
-    const Fleet::Pool& pool = random_.Draw(4) == 0 ? fleet_.All(-1) : fleet_.InZone(-1, fleet_.home());
+    const Pool& pool = random_.Draw(4) == 0 ? fleet_.All(-1) : fleet_.InZone(-1, fleet_.home());
     if (!s_.probes || s_.reports != Settings::Reports::kProbesOnly || pool.empty()) return;
     out_->push_back(Probe{fleet_.worker(pool[random_.Draw(pool.size())]).name});
   }
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -522,5 +522,25 @@
   EXPECT_LT(refused, jobs / 100) << "of " << jobs;
 }
 
+// A node of a hundred meets a worker once in minutes: it loaded small workers like large ones and never learnt.
+TEST(Failures, ANodeThatKnowsNothingSendsByTheWeightsTold) {
+  int to_large = 0;
+  constexpr int kNodes = 400;
+  for (std::uint64_t seed = 1; seed <= kNodes; ++seed) {
+    Driver d(BasicSettings(), seed);
+    std::vector<WorkerEntry> workers;
+    for (int i = 0; i < 20; ++i) {
+      workers.push_back(Entry((i < 10 ? "large" : "small") + std::to_string(i), i % 2 == 0 ? "near" : "far"));
+      workers.back().weight = i < 10 ? 4.5 : 1.5;
+    }
+    d.List(workers);
+    const auto sends = Only<Send>(d.Arrive(1, "unsafe"));
+    ASSERT_EQ(sends.size(), 1u);
+    to_large += sends[0].worker.starts_with("large");
+  }
+  EXPECT_GT(to_large, kNodes * 68 / 100);
+  EXPECT_LT(to_large, kNodes * 82 / 100);
+}
+
 }  // namespace
 }  // namespace pulleyrouter::testing
