Draw jobs for cold workers by chance, not by turns that many nodes never use

Checked: with 100 nodes the budget left each a turn of 0.75 s about every 550 s for one cold worker, in which it has a job with a chance of a third and looks at a sixth of the workers: 1 % of the budget could be used. Counted with the module alone: 100 nodes, 36 cold workers of 60, one job a second each: 24 sends to cold ones in 9 s. At fault: ColdBudgetAllows, turns of each node and worker.

Change: a job is drawn for one cold worker with the chance that this node's part of the budget since its last draw amounts to (a window at most; half of the budget is for that carry). The sum over nodes is as before in expectation, and its spread is a Poisson count's, which the four deviations were made for. State for each worker (credit, its time) is gone.

The two tests of the sum of all nodes and of a surge pass unchanged; the new one counts 24 without the change, over 200 with.

--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -85,6 +85,7 @@
 
   void Begin() {
     begun_ = true;
+    drawn_at_ = now_;
     mean_job_ = mean_price_ = MeanRunTime();
     rate_ = StartRate();
     // Full banks would burst at a restart, empty ones refuse what a calm fleet could take. The random phase
@@ -223,7 +224,6 @@
     if (index == kNone) return r->HasOpen() ? void() : Finish(r);
     Worker& w = fleet_.worker(index);
     fleet_.NoteSent(index, r->slots, r->key);
-    if (Cold(w)) w.cold_credit -= r->slots * run_time_[r->klass];
     r->attempts.push_back(Attempt{index, now_});
     out_->push_back(Send{r->id, w.name, 0});
     SetTimerIn(static_cast<Micros>(Patience(*r)), kSilenceTimer, r->id);
@@ -421,27 +421,31 @@
     return s_.cold_share + (1.0 - s_.cold_share) * Since(w.since) / s_.warm_after;
   }
 
-  // Exception: rule 4. A cold worker gets from this node at most its part of a rate at which even chance
-  // clusters over all nodes stay below what pushes it over. Nothing is saved: a turn that is not used lapses,
-  // as a surge would have many nodes use at once what they kept.
-  bool ColdBudgetAllows(Worker* w) {
-    if (!Cold(*w)) return true;
-    const double able = WarmShare(*w) * fleet_.kind_of(*w).slots;
-    // m + 4 sqrt(m) = jobs that it can bear: four deviations of a Poisson count fit under the bound. The
-    // turns of a window and a quarter may be used in one window.
-    const double root = std::sqrt(4.0 + s_.overload_factor * able * s_.fall / mean_job_) - 2.0;
-    const double rate = root * root / 1.25 * mean_job_ / s_.fall / s_.nodes;
-    if (w->credited_at < w->since) {  // first looked at: a random phase keeps nodes from starting together
-      w->cold_credit = -random_.Uniform() * mean_job_;
-      w->credited_at = w->since;
+  // Exception: rule 4. A cold worker gets from all nodes a rate at which even chance clusters stay below what
+  // pushes it over. A node that meets it seldom cannot count that out in turns: each job that may go there is
+  // drawn, with the chance that this node's part of the rate since its last draw amounts to. What was not used
+  // lapses after a window, as a surge would have many nodes use at once what they kept.
+  int DrawCold(const Request& r) {
+    const Micros since = std::min(now_ - std::exchange(drawn_at_, now_), s_.fall);
+    while (!cold_.empty()) {
+      const std::size_t at = random_.Draw(cold_.size());
+      const Worker& w = fleet_.worker(cold_[at]);
+      if (Cold(w) && w.state == WorkerEntry::State::kReady) {
+        // m + 4 sqrt(m) = jobs that it can bear in a window: four deviations of a Poisson count fit under the
+        // bound. Half of them for the window itself, half for what may have been kept from the one before.
+        const double bears = s_.overload_factor * WarmShare(w) * fleet_.kind_of(w).slots * s_.fall / mean_job_;
+        const double root = std::sqrt(4.0 + bears) - 2.0;
+        const double jobs = root * root / 2.0 * since / s_.fall / s_.nodes;
+        const double size = r.slots * run_time_[r.klass] / mean_job_;
+        return random_.Uniform() < cold_.size() * jobs / size ? cold_[at] : kNone;
+      }
+      cold_[at] = cold_.back();
+      cold_.pop_back();
     }
-    w->cold_credit += rate * Since(std::exchange(w->credited_at, now_));
-    if (w->cold_credit > 0.0) w->cold_credit = std::fmod(w->cold_credit, mean_job_);
-    if (w->cold_credit > rate * s_.fall / 4.0) w->cold_credit -= mean_job_;
-    return w->cold_credit >= 0.0;
+    return kNone;
   }
 
-  bool Eligible(int index, const Request& r, const Worker* anchor, bool gently) {
+  bool Eligible(int index, const Request& r, const Worker* anchor, bool gently, int drawn) {
     Worker& w = fleet_.worker(index);
     const ClassSettings& c = Class(r);
     if (w.state != WorkerEntry::State::kReady) return false;
@@ -453,7 +457,7 @@
     for (const Attempt& a : r.attempts) {
       if (a.worker == index && (a.open || gently)) return false;
     }
-    return ColdBudgetAllows(&w);
+    return !Cold(w) || index == drawn;
   }
 
   int Pick(const Request& r) {
@@ -461,10 +465,11 @@
     const bool bound = c.repeat == Repeat::kKeyed && c.scope != KeyScope::kAll && r.MayHaveRunAt() != kNone;
     const Worker* anchor = bound ? &fleet_.worker(r.MayHaveRunAt()) : nullptr;
     const int away = (fleet_.home() + 1 + random_.Draw(fleet_.zones() - 1)) % fleet_.zones();
+    const int drawn = DrawCold(r);
     int best = kNone;
     double best_cost = 0.0;
     const auto consider = [&](int w, bool gently, double fetches) {
-      if (!Eligible(w, r, anchor, gently)) return;
+      if (!Eligible(w, r, anchor, gently, drawn)) return;
       Worker& worker = fleet_.worker(w);
       const double cost = Cost(&worker, r, !r.key || worker.HasKey(*r.key) ? 0.0 : fetches);
       if (best != kNone && cost >= best_cost - kTie) return;
@@ -489,6 +494,7 @@
       for (std::size_t i = 0; i < looks; ++i)
         consider(fleet_.OnRing(near, Mix(*r.key + (from + i * (homes / looks)) % homes)), true, kFetch / 2.0);
     }
+    if (drawn != kNone) consider(drawn, true, kFetch);
     look(near, bound ? 4 * kSampled : kSampled, true);
     if (bound) return best;
     look(fleet_.InZone(c.kind, away), kSampled, true);
@@ -595,6 +601,10 @@
       ask_wait_ = 0;
     }
     fleet_.Apply(list);
+    cold_.clear();
+    for (const int w : fleet_.All(-1)) {
+      if (Cold(fleet_.worker(w))) cold_.push_back(w);
+    }
   }
 
   const ClassSettings& Class(const Request& r) const { return s_.classes[r.klass]; }
@@ -634,6 +644,8 @@
   std::unordered_map<std::string, int> class_of_, tenant_of_;
   std::vector<double> run_time_, median_run_;  // by class; the first is the average
   Fleet fleet_;
+  std::vector<int> cold_;  // those that were cold when the list last changed
+  Micros drawn_at_ = 0;    // when a job was last drawn for one of them
   double fleet_errors_ = 0.0;
 
   bool subscribed_ = false;
--- a/src/pulleyrouter/state.h
+++ b/src/pulleyrouter/state.h
@@ -131,8 +131,6 @@
   Micros down_until = 0;
   Micros back_off = 0;
   Micros answered_at = 0;    // its last answer to a job of ours
-  double cold_credit = 0.0;  // slot-microseconds that this node may still send to it while cold
-  Micros credited_at = 0;
 
   void NoteFree(double free, Micros now) {
     reported_free = free;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <random>
 #include <set>
 
 #include "driver.h"
@@ -349,6 +350,41 @@
   EXPECT_LE(sends * s.classes[2].target, s.overload_factor * able * s.fall);
 }
 
+// Turns of a cold worker that each of a hundred nodes had for under a second in ten minutes went by unused: six in
+// ten workers were replaced, and the others alone carried the day.
+TEST(RuleCold, ManyNodesTogetherUseWhatColdWorkersMayTake) {
+  Settings s = BasicSettings();
+  s.nodes = 100;
+  s.second_copies = false;
+  s.overload_factor = 3.0;
+  s.fall = 3 * kSecond;
+  s.cold_share = 0.3;
+  s.warm_after = 9 * kSecond;
+  int to_cold = 0;
+  for (int node = 0; node < s.nodes; ++node) {
+    Driver d(s, 100 + node);
+    std::vector<WorkerEntry> workers;
+    for (int i = 0; i < 60; ++i) {
+      workers.push_back(Entry((i < 36 ? "cold" : "warm") + std::to_string(i), i % 2 == 0 ? "near" : "far"));
+      if (i < 36) workers.back().since = d.now;
+    }
+    d.List(workers);
+    std::mt19937_64 random(node);
+    std::exponential_distribution<double> gap(1.0);
+    const Micros warm = d.now + s.warm_after;
+    for (int id = 1;; ++id) {
+      d.Advance(d.now + static_cast<Micros>(gap(random) * kSecond));
+      if (d.now >= warm) break;
+      for (const Send& send : Only<Send>(d.Arrive(id, "unsafe"))) {
+        to_cold += send.worker.starts_with("cold");
+        d.Start(id, 0);
+        d.End(id, 0, Outcome::kServed, true);
+      }
+    }
+  }
+  EXPECT_GT(to_cold, 200);  // of some 900 jobs; by turns it was a handful
+}
+
 TEST(RuleCold, AWarmedWorkerIsFree) {
   Driver d(BasicSettings());
   WorkerEntry entry = Entry("a");
