Ask a worker that seems silent whether it answers others before calling jobs back

LookForSilence takes a worker for silent when nothing came from it to this node since the job went out, and with 0.45 jobs a second over 60 workers nothing else ever does.

Change: where probes are allowed the worker is asked, once in the time that an answer may take; that it serves jobs a second counts as an answer. One that tells 0, or nothing in 0.3 s, is left alone as before.

--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -79,8 +79,8 @@
         {{"address", c.discovery ? ToText(*c.discovery) : std::string("none")}});
     if (!c.discovery) return;
     // Its versions are its own: the whole list first, and until then the workers that are known serve on.
-    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt, Pacing(c, kMovedWithin),
-                                             around_.sink);
+    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt,
+                                             Pacing(c, kMovedWithin), around_.sink);
     discovery_->Watch();
   }
 
--- a/src/http/call_pacing.h
+++ b/src/http/call_pacing.h
@@ -1,7 +1,7 @@
-// When a dispatcher may call discovery. Discovery is one service for all dispatchers and works through calls in
-// turn, those too whose caller has given up by now: dispatchers that start or lose their watch together, and all
-// call at once, fill it with calls that are dead before their turn comes, and their repeats keep it full. Pure:
-// no clock, no socket.
+// When a dispatcher may call discovery. Discovery is one service for all dispatchers and works through calls
+// in turn, those too whose caller has given up by now: dispatchers that start or lose their watch together,
+// and all call at once, fill it with calls that are dead before their turn comes, and their repeats keep it
+// full. Pure: no clock, no socket.
 #ifndef ALDERSILL_SRC_HTTP_CALL_PACING_H_
 #define ALDERSILL_SRC_HTTP_CALL_PACING_H_
 
@@ -15,8 +15,8 @@
 
 class CallPacing {
  public:
-  // `dispatchers`: that call the same discovery, this one included. `longest`: no first call and no repeat is put
-  // off for longer, in microseconds. `seed`: must differ between dispatchers, or they call in step.
+  // `dispatchers`: that call the same discovery, this one included. `longest`: no first call and no repeat is
+  // put off for longer, in microseconds. `seed`: must differ between dispatchers, or they call in step.
   CallPacing(int dispatchers, Micros longest, std::uint64_t seed)
       : spread_(std::clamp<Micros>(dispatchers * kCallTime, 1, std::max<Micros>(longest, 1))),
         longest_(std::max(spread_, std::min(longest, kLongestBackOff))),
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -20,8 +20,8 @@
 constexpr Micros kWait = 2 * kSecond;
 // What it may take beyond its wait: news counts as told 2 s after that, whether it came or not.
 constexpr Micros kPatience = kSecond;
-// What a call that begins a watch may take. Discovery lets it wait for its turn for seconds, and works on it even
-// when we have given up: one given up early is made anew, and adds to the queue that it waited in.
+// What a call that begins a watch may take. Discovery lets it wait for its turn for seconds, and works on it
+// even when we have given up: one given up early is made anew, and adds to the queue that it waited in.
 constexpr Micros kBeginPatience = 4 * kSecond;
 constexpr std::size_t kMostBody = 4 << 20;
 
@@ -29,11 +29,7 @@
 
 Discovery::Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
                      CallPacing pacing, EventSink* sink)
-    : base_(base),
-      endpoint_(endpoint),
-      sink_(sink),
-      pacing_(std::move(pacing)),
-      version_(known_version) {
+    : base_(base), endpoint_(endpoint), sink_(sink), pacing_(std::move(pacing)), version_(known_version) {
   call_from_ = SteadyNow() + pacing_.BeforeFirst();
   overdue_ = std::make_unique<Timer>(base_, [this] {
     if (out_ != nullptr) evhttp_cancel_request(std::exchange(out_, nullptr));
@@ -128,7 +124,8 @@
   renew_->Clear();
   watching_ = false;
   // A watch that was on broke for all dispatchers together, as when discovery restarts.
-  call_from_ = SteadyNow() + (std::exchange(continuing_, false) ? pacing_.BeforeFirst() : pacing_.AfterFailure());
+  call_from_ =
+      SteadyNow() + (std::exchange(continuing_, false) ? pacing_.BeforeFirst() : pacing_.AfterFailure());
   sink_->Tell(NameTableFailed{});
 }
 
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -39,7 +39,7 @@
   std::unique_ptr<Timer> begin_;
   CallPacing pacing_;
   Micros called_at_ = 0, called_wait_ = 0;  // the last call, for the log
-  Micros call_from_ = 0;  // by the steady clock: no call that begins a watch is made before
+  Micros call_from_ = 0;                    // by the steady clock: no call that begins a watch is made before
   evhttp_request* out_ = nullptr;
   std::optional<std::uint64_t> version_;
   bool watching_ = false;    // asked for, and not yet ended
--- a/src/pulleyrouter/fleet.h
+++ b/src/pulleyrouter/fleet.h
@@ -42,7 +42,6 @@
 
 class Fleet {
  public:
-
   explicit Fleet(const Settings& settings);
 
   // Takes over a list that did not fail. A worker whose process has restarted loses what was known of the old
--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -36,8 +36,9 @@
 // Runs lost where a key's data is not at hand: the job's own, those behind it, and those whose data goes.
 constexpr double kFetch = 1.5;
 constexpr double kPatience = 1.5;  // times what a late job takes: nothing heard for longer is a silence
-constexpr double kScarce = 0.3;    // worth lost by others per running time of waiting added to a worker
-constexpr double kTie = 0.01;      // costs this close are equal: the least of them would never be tried again
+constexpr Micros kAnswerWithin = 300'000;  // a probe's answer that takes longer is none
+constexpr double kScarce = 0.3;  // worth lost by others per running time of waiting added to a worker
+constexpr double kTie = 0.01;    // costs this close are equal: the least of them would never be tried again
 constexpr int kNone = -1;
 
 enum TimerKind : std::uint64_t { kTokenTimer, kDeadlineTimer, kCopyTimer, kListTimer, kSilenceTimer };
@@ -237,7 +238,9 @@
 
   // Exception: a worker that takes jobs and answers none holds them to the deadline, and no outcome tells of
   // it. Where nothing at all has come from it since a job was sent there too long ago, it is left alone as
-  // one that cannot be reached, and the job is called back where it may run again.
+  // one that cannot be reached, and the job is called back where it may run again. Where it may be asked, it
+  // is asked first: of many nodes each hears of a worker so seldom that a queue looks like silence, and jobs
+  // called back from queues are run twice when time is shortest.
   void LookForSilence(Request* r) {
     for (std::size_t i = 0; i < r->attempts.size() && !r->ended; ++i) {
       Attempt& a = r->attempts[i];
@@ -250,6 +253,14 @@
         SetTimerIn(static_cast<Micros>(patience) - std::min(waited, quiet), kSilenceTimer, r->id);
         continue;
       }
+      if (s_.probes && (w.asked_at == 0 || now_ - w.asked_at >= patience)) {
+        w.asked_at = now_;
+        out_->push_back(Probe{w.name});
+      }
+      if (s_.probes && now_ - w.asked_at + 1000 < kAnswerWithin) {
+        SetTimerIn(kAnswerWithin - (now_ - w.asked_at), kSilenceTimer, r->id);
+        continue;
+      }
       if (w.down_until <= now_) LeaveAlone(&w);
       const ClassSettings& c = Class(*r);
       const bool harmless =
@@ -423,8 +434,8 @@
 
   // Exception: rule 4. A cold worker gets from all nodes a rate at which even chance clusters stay below what
   // pushes it over. A node that meets it seldom cannot count that out in turns: each job that may go there is
-  // drawn, with the chance that this node's part of the rate since its last draw amounts to. What was not used
-  // lapses after a window, as a surge would have many nodes use at once what they kept.
+  // drawn, with the chance that this node's part of the rate since its last draw amounts to. What was not
+  // used lapses after a window, as a surge would have many nodes use at once what they kept.
   int DrawCold(const Request& r) {
     const Micros since = std::min(now_ - std::exchange(drawn_at_, now_), s_.fall);
     while (!cold_.empty()) {
@@ -433,7 +444,8 @@
       if (Cold(w) && w.state == WorkerEntry::State::kReady) {
         // m + 4 sqrt(m) = jobs that it can bear in a window: four deviations of a Poisson count fit under the
         // bound. Half of them for the window itself, half for what may have been kept from the one before.
-        const double bears = s_.overload_factor * WarmShare(w) * fleet_.kind_of(w).slots * s_.fall / mean_job_;
+        const double bears =
+            s_.overload_factor * WarmShare(w) * fleet_.kind_of(w).slots * s_.fall / mean_job_;
         const double root = std::sqrt(4.0 + bears) - 2.0;
         const double jobs = root * root / 2.0 * since / s_.fall / s_.nodes;
         const double size = r.slots * run_time_[r.klass] / mean_job_;
@@ -484,8 +496,8 @@
         consider(pool.AtShare(std::fmod(from + 1.0 * i / looks, 1.0)), gently, kFetch);
     };
     const Pool& near = !bound                       ? fleet_.InZone(c.kind, fleet_.home())
-                              : c.scope == KeyScope::kCell ? fleet_.InCell(anchor->cell)
-                                                           : fleet_.InZone(c.kind, anchor->zone);
+                       : c.scope == KeyScope::kCell ? fleet_.InCell(anchor->cell)
+                                                    : fleet_.InZone(c.kind, anchor->zone);
     // Jobs of one key look at the same few on every node, which have its data at hand: twice as many as its
     // share of the traffic fills, or a popular key would swamp them.
     if (r.key && !bound && !near.empty()) {
@@ -575,7 +587,10 @@
 
   void On(const ProbeDone& e) {
     const int index = fleet_.Find(e.worker);
-    if (index != kNone && e.outcome == Outcome::kServed) Absorb(index, e.report);
+    if (index == kNone || e.outcome != Outcome::kServed) return;
+    Absorb(index, e.report);
+    // It answers others' jobs: what waits there waits in a queue.
+    if (e.report.served_per_s.value_or(0.0) > 0.0) fleet_.worker(index).answered_at = now_;
   }
 
   // ---- The worker list ----
--- a/src/pulleyrouter/state.h
+++ b/src/pulleyrouter/state.h
@@ -130,7 +130,8 @@
   Micros judged_at = 0;
   Micros down_until = 0;
   Micros back_off = 0;
-  Micros answered_at = 0;    // its last answer to a job of ours
+  Micros answered_at = 0;  // its last answer to a job, of ours or, as it told, of another's
+  Micros asked_at = 0;     // whether it still answers jobs
 
   void NoteFree(double free, Micros now) {
     reported_free = free;
--- a/tests/daemon/call_pacing_test.cpp
+++ b/tests/daemon/call_pacing_test.cpp
@@ -1,12 +1,12 @@
 // Many dispatchers, each with a pacing of its own, against one modelled discovery in virtual time.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "http/call_pacing.h"
+
 #include <doctest/doctest.h>
 
 #include <queue>
 #include <vector>
 
-#include "http/call_pacing.h"
-
 namespace aldersill {
 namespace {
 
@@ -78,7 +78,8 @@
 }
 
 TEST_CASE("few dispatchers hardly wait") {
-  for (std::uint64_t seed = 1; seed <= 50; ++seed) CHECK(CallPacing(3, kLongest, seed).BeforeFirst() <= 180'000);
+  for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    CHECK(CallPacing(3, kLongest, seed).BeforeFirst() <= 180'000);
 }
 
 TEST_CASE("repeats back off, never beyond the bound, and begin anew after a success") {
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -494,8 +494,8 @@
   EXPECT_LE(to_dead, 40);
 }
 
-// Of a hundred nodes each turned away a third of its jobs at the start and a tenth later, beside idle workers: a
-// tenant's bank held one job or two, and its tokens came every ten seconds.
+// Of a hundred nodes each turned away a third of its jobs at the start and a tenth later, beside idle
+// workers: a tenant's bank held one job or two, and its tokens came every ten seconds.
 TEST(Failures, ANodeOfManyTurnsAwayFewJobsByChanceAlone) {
   int refused = 0, jobs = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
@@ -507,7 +507,8 @@
     Driver d(s, seed);
     d.List({Entry("a"), Entry("b")});
     std::mt19937_64 random(seed);
-    std::exponential_distribution<double> gap(0.9);  // jobs a second, of the 1.2 that the quotas leave this node
+    std::exponential_distribution<double> gap(
+        0.9);  // jobs a second, of the 1.2 that the quotas leave this node
     for (int id = 1; id <= 60; ++id, ++jobs) {
       d.Advance(d.now + static_cast<Micros>(gap(random) * kSecond));
       const auto actions =
@@ -522,7 +523,8 @@
   EXPECT_LT(refused, jobs / 100) << "of " << jobs;
 }
 
-// A node of a hundred meets a worker once in minutes: it loaded small workers like large ones and never learnt.
+// A node of a hundred meets a worker once in minutes: it loaded small workers like large ones and never
+// learnt.
 TEST(Failures, ANodeThatKnowsNothingSendsByTheWeightsTold) {
   int to_large = 0;
   constexpr int kNodes = 400;
@@ -542,5 +544,38 @@
   EXPECT_LT(to_large, kNodes * 82 / 100);
 }
 
+// A node of a hundred hears of a worker once in minutes: it took each queue for silence, and a quarter of all
+// executions were called back and run again elsewhere, most when the fleet was short of workers.
+TEST(Failures, AWorkerThatAnswersOthersIsNotTakenForSilent) {
+  struct Case {
+    std::optional<double> served_per_s;  // what it tells when it is asked; nothing: it does not answer
+    bool called_back;
+  };
+  for (const Case& c : {Case{3.0, false}, Case{0.0, true}, Case{std::nullopt, true}}) {
+    Settings s = BasicSettings();
+    s.second_copies = false;
+    s.tells_start = false;
+    s.probes = true;
+    Driver d(s);
+    d.List({Entry("a"), Entry("b")});
+    d.Arrive(1, "repeatable", 20 * kSecond);
+    int asked = 0;
+    // In steps of odd length, as timers ring late.
+    for (const Micros end = d.now + 3 * kSecond; d.now < end;) {
+      for (const Probe& probe : Only<Probe>(d.Advance(d.now + 7'777))) {
+        ++asked;
+        if (!c.served_per_s) continue;
+        LoadReport report = FreeSlots(0.0);
+        report.served_per_s = c.served_per_s;
+        d.now += 5'000;
+        d.Do(ProbeDone{probe.worker, Outcome::kServed, 5'000, report});
+      }
+    }
+    EXPECT_GE(asked, 1);
+    EXPECT_LE(asked, 10);  // once in the time that an answer may take
+    EXPECT_EQ(Count<Cancel>(d.all) > 0, c.called_back) << c.served_per_s.value_or(-1.0);
+  }
+}
+
 }  // namespace
 }  // namespace pulleyrouter::testing
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -350,8 +350,8 @@
   EXPECT_LE(sends * s.classes[2].target, s.overload_factor * able * s.fall);
 }
 
-// Turns of a cold worker that each of a hundred nodes had for under a second in ten minutes went by unused: six in
-// ten workers were replaced, and the others alone carried the day.
+// Turns of a cold worker that each of a hundred nodes had for under a second in ten minutes went by unused:
+// six in ten workers were replaced, and the others alone carried the day.
 TEST(RuleCold, ManyNodesTogetherUseWhatColdWorkersMayTake) {
   Settings s = BasicSettings();
   s.nodes = 100;
--- a/tests/throttle_test.cpp
+++ b/tests/throttle_test.cpp
@@ -64,7 +64,8 @@
   const Micros token = FirstToken(s, 3);
   Driver d(s, 3);
   d.List({Entry("w")});
-  for (int id = 11; id <= 14; ++id) EXPECT_EQ(Count<Send>(d.Arrive(id, "unsafe", 1000 * kSecond, 1, "only")), 1);
+  for (int id = 11; id <= 14; ++id)
+    EXPECT_EQ(Count<Send>(d.Arrive(id, "unsafe", 1000 * kSecond, 1, "only")), 1);
   // C_J = 7, T = 2: a job of three slots takes both tokens and waits for one more.
   EXPECT_EQ(Count<Send>(d.Arrive(1, "unsafe", 1000 * kSecond, 3, "only")), 0);
   EXPECT_EQ(Count<Send>(d.Advance(token)), 1);
