Write a line for each request, execution and probe at level debug

A burst set larger than the default of 100 lines counts from the start on: the list of 151 workers told at a start had lost 40 of its lines.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "log/log.h"
+#include "log/trace.h"
 
 namespace aldersill {
 namespace {
@@ -76,8 +77,12 @@
     Event next = std::move(events_.front());
     events_.pop_front();
     effects_.clear();
+    Trace(next);
     reducer_.Reduce(Now(), std::move(next), &effects_);
-    for (const Effect& effect : effects_) std::visit([this](const auto& e) { Do(e); }, effect);
+    for (const Effect& effect : effects_) {
+      Trace(effect);
+      std::visit([this](const auto& e) { Do(e); }, effect);
+    }
   }
   reducing_ = false;
 }
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -19,8 +19,8 @@
  public:
   void Set(const LogSettings& s) {
     per_second_ = s.lines_per_second;
+    allowed_ = std::min<double>(s.burst, allowed_ + std::max(0.0, s.burst - burst_));
     burst_ = s.burst;
-    allowed_ = std::min(allowed_, burst_);
   }
   bool Allows() {
     const Clock::time_point now = Clock::now();
@@ -121,9 +121,11 @@
   s.rate.Set(settings);
 }
 
+bool LogsAt(LogLevel level) { return level >= TheState().settings.level; }
+
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
   State& s = TheState();
-  if (level < s.settings.level) return;
+  if (!LogsAt(level)) return;
   if (!s.rate.Allows()) {
     ++s.dropped;
     return;
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -38,6 +38,9 @@
 // through is preceded by one that tells how many were. A field longer than 400 bytes is cut.
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+// Whether a line of this level is written at all: spares the making of lines that nobody reads.
+bool LogsAt(LogLevel level);
+
 // Takes effect with the next line.
 void SetUpLog(const LogSettings& settings);
 
--- /dev/null
+++ b/src/log/trace.cpp
@@ -0,0 +1,101 @@
+#include "log/trace.h"
+
+#include <string>
+
+#include "log/log.h"
+
+namespace aldersill {
+namespace {
+
+constexpr const char* kOutcomes[] = {"served",         "error", "full",      "timeout",
+                                     "connect_failed", "lost",  "cancelled", "not_sent"};
+
+const char* Name(Outcome outcome) { return kOutcomes[static_cast<std::size_t>(outcome)]; }
+
+// A figure that was not told is -1.
+double Told(const std::optional<double>& figure) { return figure.value_or(-1.0); }
+
+struct EventLines {
+  void operator()(const RequestTaken& e) const {
+    Log(LogLevel::kDebug, "request_taken",
+        {{"client", e.client.number},
+         {"id", e.job.id},
+         {"class", e.job.klass},
+         {"tenant", e.job.tenant},
+         {"retry", e.job.is_retry},
+         {"left_ms", e.job.time_left / kMillisecond}});
+  }
+  void operator()(const ClientLeft& e) const {
+    Log(LogLevel::kDebug, "client_left", {{"client", e.client.number}});
+  }
+  void operator()(const ExecutionEnded& e) const {
+    Log(LogLevel::kDebug, "execution_ended",
+        {{"execution", static_cast<std::uint64_t>(e.execution)},
+         {"outcome", Name(e.outcome)},
+         {"free", Told(e.report.free_slots)},
+         {"cpu", Told(e.report.cpu_share)},
+         {"service_ms", Told(e.report.service_ms)},
+         {"served_per_s", Told(e.report.served_per_s)}});
+  }
+  void operator()(const ProbeAnswered& e) const {
+    Log(LogLevel::kDebug, "probe_answered",
+        {{"instance", e.instance},
+         {"outcome", Name(e.outcome)},
+         {"elapsed_ms", e.elapsed / kMillisecond},
+         {"free", Told(e.report.free_slots)},
+         {"cpu", Told(e.report.cpu_share)},
+         {"service_ms", Told(e.report.service_ms)},
+         {"served_per_s", Told(e.report.served_per_s)}});
+  }
+  void operator()(const NameTableNews& e) const {
+    for (const Instance& i : e.instances) {
+      Log(LogLevel::kDebug, "instance_told",
+          {{"instance", i.name},
+           {"state", i.state == Instance::State::kReady ? "ready"
+                     : i.state == Instance::State::kDraining ? "draining" : "gone"},
+           {"zone", i.zone},
+           {"kind", i.kind},
+           {"weight", i.weight},
+           {"started_ms", i.started / kMillisecond}});
+    }
+  }
+  void operator()(const auto&) const {}
+};
+
+struct EffectLines {
+  void operator()(const StartExecution& e) const {
+    Log(LogLevel::kDebug, "execution_started",
+        {{"execution", static_cast<std::uint64_t>(e.execution)}, {"id", e.job->id}, {"instance", e.instance}});
+  }
+  void operator()(const StopExecution& e) const {
+    Log(LogLevel::kDebug, "execution_stopped", {{"execution", static_cast<std::uint64_t>(e.execution)}});
+  }
+  void operator()(const ProbeInstance& e) const {
+    Log(LogLevel::kDebug, "probe_sent", {{"instance", e.instance}});
+  }
+  void operator()(const Answer& e) const {
+    const auto* nack = std::get_if<Nack>(&e.answer);
+    const auto* failure = std::get_if<Failure>(&e.answer);
+    const char* what = nack != nullptr                               ? "nack"
+                       : failure == nullptr                          ? "served"
+                       : failure->why == Failure::Why::kTooLate      ? "too_late"
+                       : failure->why == Failure::Why::kRepeat       ? "repeat"
+                                                                     : "failed";
+    Log(LogLevel::kDebug, "request_answered",
+        {{"client", e.client.number},
+         {"what", what},
+         {"retry_after_ms", nack != nullptr ? nack->retry_after / kMillisecond : 0}});
+  }
+  void operator()(const auto&) const {}
+};
+
+}  // namespace
+
+void Trace(const Event& event) {
+  if (LogsAt(LogLevel::kDebug)) std::visit(EventLines{}, event);
+}
+void Trace(const Effect& effect) {
+  if (LogsAt(LogLevel::kDebug)) std::visit(EffectLines{}, effect);
+}
+
+}  // namespace aldersill
