Send what is drawn for a cold worker there, by its weight, and draw more of it

Counted over all logs by what a worker was at the time: between 10 and 15 s the 60 old workers that stay got 1,300 to 2,400 attempts in 2.5 s (of 2,700: 1,626 full, 514 called back), the 90 new ones 240. Per second since they were told of, new workers got 1.5, 3, 11, 19, 17 and 20 % of their full capacity, though they begin at 30 % or more and may be sent three times what they can do. What was drawn then had to beat others by cost, and old workers of which nothing is known look wholly free (free_share starts at 1): so it seldom went there. Found on the way: cold_ was cleaned only as workers were met, and its size multiplies the chance; the last cold worker of 90 got 56 jobs in 2.5 s (4.2 times its full capacity in a window; no rule broke, as it was nearly warm). At fault: Pick's consider(drawn), DrawCold's size of cold_, its equal slots for kinds of unequal speed. Change: what is drawn goes there; cold_ is cleaned before each draw; a worker's part is taken by the weight told; jobs over 1.2 mean jobs (cobro) are not drawn; the spread under the bound is that of the jobs drawn; three quarters of the bound instead of half, as even arrivals keep a third of a window, not a whole one.

--- a/src/pulleyrouter/fleet.h
+++ b/src/pulleyrouter/fleet.h
@@ -26,6 +26,7 @@
   }
   bool empty() const { return workers_.empty(); }
   std::size_t size() const { return workers_.size(); }
+  double weight() const { return up_to_.empty() ? 0.0 : up_to_.back(); }
   int operator[](std::size_t at) const { return workers_[at]; }
   auto begin() const { return workers_.begin(); }
   auto end() const { return workers_.end(); }
@@ -70,6 +71,8 @@
   int zones() const { return static_cast<int>(zones_.size()); }
   int ready() const { return static_cast<int>(all_[0].size()); }
   double ready_slots() const;
+  // This worker's part of what all ready ones can do, by the weights told.
+  double part(const Worker& w) const { return w.weight / std::max(all_[0].weight(), w.weight); }
 
   // Ready workers that run a class of this kind setting (-1: any): everywhere, in one zone, in one cell.
   const Pool& All(int kind) const { return all_[kind + 1]; }
--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -39,6 +39,8 @@
 constexpr double kFetch = 1.5;
 constexpr double kPatience = 1.5;  // times what a late job takes: nothing heard for longer is a silence
 constexpr Micros kAnswerWithin = 300'000;  // a probe's answer that takes longer is none
+constexpr double kShort = 1.2;   // of a mean job: up to this long it may go to a cold worker
+constexpr double kVaries = 1.3;  // mean square over squared mean of the running times of one class
 constexpr double kScarce = 0.3;  // worth lost by others per running time of waiting added to a worker
 constexpr double kTie = 0.01;    // costs this close are equal: the least of them would never be tried again
 constexpr int kNone = -1;
@@ -445,27 +447,31 @@
 
   // Exception: rule 4. A cold worker gets from all nodes a rate at which even chance clusters stay below what
   // pushes it over. A node that meets it seldom cannot count that out in turns: each job that may go there is
-  // drawn, with the chance that this node's part of the rate since its last draw amounts to. What was not
-  // used lapses after a window, as a surge would have many nodes use at once what they kept.
+  // drawn, with the chance that this node's part of the rate since its last draw amounts to, and goes there.
+  // What was not used lapses after a window, as a surge would have many nodes use at once what they kept.
+  // Long jobs, few of which make a cluster, stay away.
   int DrawCold(const Request& r) {
     const Micros since = std::min(now_ - std::exchange(drawn_at_, now_), s_.fall);
-    while (!cold_.empty()) {
-      const std::size_t at = random_.Draw(cold_.size());
-      const Worker& w = fleet_.worker(cold_[at]);
-      if (Cold(w) && w.state == WorkerEntry::State::kReady) {
-        // m + 4 sqrt(m) = jobs that it can bear in a window: four deviations of a Poisson count fit under the
-        // bound. Half of them for the window itself, half for what may have been kept from the one before.
-        const double bears =
-            s_.overload_factor * WarmShare(w) * fleet_.kind_of(w).slots * s_.fall / mean_job_;
-        const double root = std::sqrt(4.0 + bears) - 2.0;
-        const double jobs = root * root / 2.0 * since / s_.fall / s_.nodes;
-        const double size = r.slots * run_time_[r.klass] / mean_job_;
-        return random_.Uniform() < cold_.size() * jobs / size ? cold_[at] : kNone;
-      }
-      cold_[at] = cold_.back();
-      cold_.pop_back();
+    std::erase_if(cold_, [this](int w) {
+      return !Cold(fleet_.worker(w)) || fleet_.worker(w).state != WorkerEntry::State::kReady;
+    });
+    const double size = r.slots * run_time_[r.klass] / mean_job_;
+    if (cold_.empty() || size > kShort) return kNone;
+    double longest = size;
+    for (const double run : run_time_) {
+      if (run <= kShort * mean_job_) longest = std::max(longest, run / mean_job_);
     }
-    return kNone;
+    const int at = cold_[random_.Draw(cold_.size())];
+    const Worker& w = fleet_.worker(at);
+    // m + 4 sqrt(v m) = mean jobs that it can bear in a window, v their mean square over their mean: four
+    // deviations fit under the bound. Three quarters of them for the window itself, the rest for what nodes
+    // keep from the one before where jobs come by even chance.
+    const double slots = fleet_.ready_slots() * fleet_.part(w);
+    const double bears = s_.overload_factor * WarmShare(w) * slots * s_.fall / mean_job_;
+    const double v = kVaries * longest;
+    const double root = std::sqrt(4.0 * v + bears) - std::sqrt(4.0 * v);
+    const double jobs = 0.75 * root * root * since / s_.fall / s_.nodes;
+    return random_.Uniform() < cold_.size() * jobs / size ? at : kNone;
   }
 
   bool Eligible(int index, const Request& r, const Worker* anchor, bool gently, int drawn) {
@@ -489,6 +495,7 @@
     const Worker* anchor = bound ? &fleet_.worker(r.MayHaveRunAt()) : nullptr;
     const int away = (fleet_.home() + 1 + random_.Draw(fleet_.zones() - 1)) % fleet_.zones();
     const int drawn = DrawCold(r);
+    if (drawn != kNone && Eligible(drawn, r, anchor, true, drawn)) return drawn;
     int best = kNone;
     double best_cost = 0.0;
     const auto consider = [&](int w, bool gently, double fetches) {
@@ -658,7 +665,7 @@
   double quota_ = 0.0;    // this node's part, requests a second
   double rate_ = 1.0;     // R, slots a second
   double shallow_ = 0.0;  // share of 'full' among the recent signs of overload
-  bool accepted_ = false;  // a worker has accepted an attempt
+  bool accepted_ = false;  // a worker has taken an attempt
   double strain_ = 0.0;   // recent share of attempts that met a sign of overload
   double mean_tokens_ = 1.0, mean_price_ = 1.0, mean_job_ = 1.0;  // of a job; the last in slot-microseconds
   double copies_ = 0.0;
