Draw cold workers by their weight, and take the spread of the jobs that are drawn

Seen: with the former draw new workers still got 17 to 26 % of their full capacity while 45 to 80 % was there. Two causes: chosen evenly, half of the draws fell on small workers whose chance was then low, while that of large ones came out over one (six mean jobs a window among 60 cold workers, a node's job a second) and was cut off; and the spread under the bound was that of the longest class drawn, though long ones are drawn less often. Change: the cold worker is taken by its weight, its chance divided by that; the spread is that of the mean short class.

--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -457,21 +457,27 @@
     });
     const double size = r.slots * run_time_[r.klass] / mean_job_;
     if (cold_.empty() || size > kShort) return kNone;
-    double longest = size;
+    double sizes = 0.0, classes = 0.0, parts = 0.0;
     for (const double run : run_time_) {
-      if (run <= kShort * mean_job_) longest = std::max(longest, run / mean_job_);
+      const bool is_short = run <= kShort * mean_job_;
+      sizes += is_short ? run / mean_job_ : 0.0;
+      classes += is_short;
     }
-    const int at = cold_[random_.Draw(cold_.size())];
-    const Worker& w = fleet_.worker(at);
+    // By their parts: by turns large ones would get fewer jobs than they can bear, however sure the draw.
+    for (const int w : cold_) parts += fleet_.part(fleet_.worker(w));
+    std::size_t at = 0;
+    for (double u = random_.Uniform() * parts; at + 1 < cold_.size(); ++at) {
+      if ((u -= fleet_.part(fleet_.worker(cold_[at]))) <= 0.0) break;
+    }
+    const Worker& w = fleet_.worker(cold_[at]);
     // m + 4 sqrt(v m) = mean jobs that it can bear in a window, v their mean square over their mean: four
-    // deviations fit under the bound. Three quarters of them for the window itself, the rest for what nodes
-    // keep from the one before where jobs come by even chance.
+    // deviations fit under the bound. Three quarters for the window itself, the rest for what nodes keep.
     const double slots = fleet_.ready_slots() * fleet_.part(w);
     const double bears = s_.overload_factor * WarmShare(w) * slots * s_.fall / mean_job_;
-    const double v = kVaries * longest;
+    const double v = kVaries * r.slots * sizes / classes;
     const double root = std::sqrt(4.0 * v + bears) - std::sqrt(4.0 * v);
     const double jobs = 0.75 * root * root * since / s_.fall / s_.nodes;
-    return random_.Uniform() < cold_.size() * jobs / size ? at : kNone;
+    return random_.Uniform() < parts / fleet_.part(w) * jobs / size ? cold_[at] : kNone;
   }
 
   bool Eligible(int index, const Request& r, const Worker* anchor, bool gently, int drawn) {
