Listen to the old discovery until the one it moved to has answered

Ruled out: calling sooner or more often (235 calls were refused at once, discovery's turns are the limit); calls by dispatchers that drain (45 to 56 of 700 answers, and they still send 124 to 168 attempts); that old lists of restarted ones cause it (they have 10 s, and none was past that). At fault: PlatformPart::Adopted dropped the old watch at SIGHUP, although it goes on for 1.5 s. Change: Discovery takes over the one before it and listens to it until its own first answer. What comes so is told as kLeftChanges: as changes it would tell the module that its watch is on, and a failed first call was never repeated. The exchange over SIGHUP and the reducer's test each fail without their part.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -158,7 +158,8 @@
 
 void Reducer::On(NameTableNews&& e) {
   ++counters_.name_table_news;
-  const bool whole = e.form != NameTableNews::Form::kChanges;
+  using Form = NameTableNews::Form;
+  const bool whole = e.form == Form::kWhole || e.form == Form::kRemembered;
   if (whole) {
     for (auto& [name, known] : name_table_) {
       if (known.source == e.source) known.state = Instance::State::kGone;
@@ -176,14 +177,14 @@
   counters_.ready_instances = counters_.draining_instances = 0;
   for (const auto& [name, known] : name_table_)
     ++(known.state == Instance::State::kReady ? counters_.ready_instances : counters_.draining_instances);
-  if (e.source == Instance::Source::kSession) {
+  if (e.source == Instance::Source::kSession || e.form == Form::kLeftChanges) {
     // As a list of old: any other would tell the module that it is subscribed, and it would never ask
     // discovery.
     TellModules(WholeList(WorkerList::Form::kCached));
   } else if (!whole) {
     TellModules(std::move(changes));
   } else {
-    const bool old = e.form == NameTableNews::Form::kRemembered;
+    const bool old = e.form == Form::kRemembered;
     watched_ = !old;
     TellModules(WholeList(old ? WorkerList::Form::kCached : WorkerList::Form::kFull));
   }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -117,7 +117,8 @@
   TimerKey key;
 };
 struct NameTableNews {
-  enum class Form { kChanges, kWhole, kRemembered } form = Form::kWhole;
+  // kRemembered: a whole list, kLeftChanges: changes, of a source that is not watched (any more).
+  enum class Form { kChanges, kWhole, kRemembered, kLeftChanges } form = Form::kWhole;
   Instance::Source source = Instance::Source::kDiscovery;
   std::vector<Instance> instances;
 };
--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -74,13 +74,12 @@
   void Adopted(const Config& c) override {
     if (c.discovery == discovered_at_) return;
     discovered_at_ = c.discovery;
-    discovery_.reset();
     Log(LogLevel::kInfo, "discovery_moved",
         {{"address", c.discovery ? ToText(*c.discovery) : std::string("none")}});
-    if (!c.discovery) return;
+    if (!c.discovery) return discovery_.reset();
     // Its versions are its own: the whole list first, and until then the workers that are known serve on.
     discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt,
-                                             Pacing(c, kMovedWithin), around_.sink);
+                                             Pacing(c, kMovedWithin), around_.sink, std::move(discovery_));
     discovery_->Watch();
   }
 
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -28,8 +28,11 @@
 }  // namespace
 
 Discovery::Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
-                     CallPacing pacing, EventSink* sink)
+                     CallPacing pacing, EventSink* sink, std::unique_ptr<Discovery> left)
     : base_(base), endpoint_(endpoint), sink_(sink), pacing_(std::move(pacing)), version_(known_version) {
+  // One that has told nothing yet leaves the word to the one before it.
+  if (left != nullptr) before_ = left->continuing_ ? std::move(left) : std::move(left->before_);
+  if (before_ != nullptr) before_->Leave();
   call_from_ = SteadyNow() + pacing_.BeforeFirst();
   overdue_ = std::make_unique<Timer>(base_, [this] {
     if (out_ != nullptr) evhttp_cancel_request(std::exchange(out_, nullptr));
@@ -44,6 +47,12 @@
   if (out_ != nullptr) evhttp_cancel_request(std::exchange(out_, nullptr));
 }
 
+void Discovery::Leave() {
+  left_ = true;
+  before_.reset();
+  begin_->Clear();
+}
+
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;
   begin_->Set(std::max<Micros>(0, call_from_ - SteadyNow()));
@@ -103,6 +112,7 @@
        {"whole", message.full},
        {"entries", message.instances.size()},
        {"version", message.version}});
+  before_.reset();  // whose versions are others: nothing of it may come after this list
   version_ = message.version;
   pacing_.Succeeded();
   continuing_ = true;
@@ -111,18 +121,20 @@
   if (fd >= 0) setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   renew_->Set(0);  // within 200 ms, or it would be a new watch
   using Form = NameTableNews::Form;
-  sink_->Tell(NameTableNews{message.full ? Form::kWhole : Form::kChanges, Instance::Source::kDiscovery,
-                            std::move(message.instances)});
+  const Form form = message.full ? (left_ ? Form::kRemembered : Form::kWhole)
+                                 : (left_ ? Form::kLeftChanges : Form::kChanges);
+  sink_->Tell(NameTableNews{form, Instance::Source::kDiscovery, std::move(message.instances)});
 }
 
 void Discovery::Fail(const char* why) {
-  Log(LogLevel::kWarning, "discovery_failed",
+  Log(left_ ? LogLevel::kDebug : LogLevel::kWarning, left_ ? "discovery_left" : "discovery_failed",
       {{"why", why},
        {"wait_ms", called_wait_ / kMillisecond},
        {"took_ms", (SteadyNow() - called_at_) / kMillisecond}});
   overdue_->Clear();
   renew_->Clear();
   watching_ = false;
+  if (left_) return;
   // A watch that was on broke for all dispatchers together, as when discovery restarts.
   call_from_ =
       SteadyNow() + (std::exchange(continuing_, false) ? pacing_.BeforeFirst() : pacing_.AfterFailure());
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -15,9 +15,11 @@
 class Discovery {
  public:
   // `known_version`: of the list that is known already; none where it came from elsewhere, so that the first
-  // news must be the whole list. `pacing`: when calls may be made.
+  // news must be the whole list. `pacing`: when calls may be made. `left`: the watch at the address before, if any;
+  // it is listened to until this one's first answer or its own end, as its end comes seconds before that answer
+  // where all dispatchers move together.
   Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
-            CallPacing pacing, EventSink* sink);
+            CallPacing pacing, EventSink* sink, std::unique_ptr<Discovery> left = nullptr);
   ~Discovery();
 
   // Begins a watch when the pacing allows the call, unless one is on. What it brings is told as it comes; its
@@ -26,6 +28,7 @@
 
  private:
   static void OnDone(evhttp_request* request, void* self);
+  void Leave();
   void Call(Micros wait);
   void Answered(evhttp_request* request);
   void Fail(const char* why);
@@ -44,6 +47,8 @@
   std::optional<std::uint64_t> version_;
   bool watching_ = false;    // asked for, and not yet ended
   bool continuing_ = false;  // a call of this watch has been answered
+  bool left_ = false;        // a discovery at another address has taken over: no new watch, no word of its end
+  std::unique_ptr<Discovery> before_;
 };
 
 }  // namespace aldersill
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -104,6 +104,24 @@
   CHECK(b.Effects<Answer>().empty());
 }
 
+TEST_CASE("what a discovery that was left still tells holds, and keeps nobody from asking the new one") {
+  Bench b;
+  b.News(NameTableNews::Form::kWhole, {Bench::Worker("a"), Bench::Worker("b")});
+  b.Tell(NameTableFailed{});  // the first call to the new one
+  const auto timers = b.Effects<SetTimer>();
+  b.News(NameTableNews::Form::kLeftChanges, {Bench::Worker("a", Instance::State::kDraining)});
+  for (std::uint64_t client = 1; client <= 8; ++client) {
+    b.Ask(client, "once");
+    CHECK(b.Only<StartExecution>().instance == "b");
+  }
+  std::size_t watches = 0;
+  for (const SetTimer& timer : timers) {
+    b.Tell(TimerDue{timer.key}, timer.delay);
+    watches += b.Effects<WatchNameTable>().size();
+  }
+  CHECK(watches == 1);
+}
+
 TEST_CASE("an execution not yet handed over never reaches an instance told to drain") {
   Bench b;
   b.Ask(1, "once");
--- a/tests/daemon/lifecycle_test.cpp
+++ b/tests/daemon/lifecycle_test.cpp
@@ -101,12 +101,16 @@
   REQUIRE(daemon.Logs("discovery_moved"));
   // The new address is asked for its whole list, under no version of the old one. Until it answers the
   // workers known serve on, and the class that is new is known.
-  CHECK(player.Play("expect-end d\naccept e d2\n" + Call("e", "") + Ask("b", "nueva", "r2") +
+  CHECK(player.Play("accept e d2\n" + Call("e", "") + Ask("b", "nueva", "r2") +
                     "accept y w1\n" + Run("y", "nueva", "r2") + Done("x", "r1") + "expect a\n" + served +
                     Done("y", "r2") + "expect b\n" + served) == "");
-  CHECK(player.Play(List("e", 3, "s-2", "w2") + Call("e", "?index=3&wait={*}") + Ask("c", "cobro", "r3") +
-                    "accept z w2\n" + Run("z", "cobro", "r3") + Done("z", "r3") + "expect c\n" + served) ==
-        "");
+  // What the old address has to tell meanwhile holds: its worker is gone, and what it says last comes from it alone.
+  CHECK(player.Play(List("d", 41, "s-3", "w2") + Call("d", "?index=41&wait={*}") + Ask("f", "cobro", "r4") +
+                    "accept v w2\n" + Run("v", "cobro", "r4") + Done("v", "r4") + "expect f\n" + served) == "");
+  // From the new list on nothing of the old one counts: it is not watched any more.
+  CHECK(player.Play(List("e", 3, "s-2", "w1") + Call("e", "?index=3&wait={*}") + "expect-end d\n" +
+                    Ask("c", "cobro", "r3") + "accept z w1\n" + Run("z", "cobro", "r3") + Done("z", "r3") +
+                    "expect c\n" + served) == "");
   daemon.Signal(SIGTERM);
   daemon.Signal(SIGHUP);
   CHECK(daemon.Wait() == 0);
