Give a node's rate three deviations over what arrives, and read worth by work

Ruled out: the fleet (no 'full', late-seeing policies serve all), one tenant, start-up (the first 5 s refuse 0.3 %). At fault: Admit's floor gives R just what arrives: a bank that fills as fast as jobs come refuses by chance alone, and at three tokens a second the count of 8 s is itself off by a fifth. Change: Needed() puts three deviations of the count on top of what arrives, going to nothing as strain reaches twice the steady one; Settings::worth_by_work prices by worth alone.

--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -110,6 +110,14 @@
   // Tokens a second that the jobs of late asked for.
   double Arriving() const { return arriving_ * std::exp(-Since(arrived_at_) / kRecent); }
 
+  // R at the least. Quotas are dealt out evenly, traffic is not: what arrives here, less the share that of
+  // late met a sign of overload. A bank that fills just as fast as jobs come refuses by chance, and of many
+  // nodes each counts few jobs: three deviations of the count on top, which go as strain comes.
+  double Needed() const {
+    const double a = Arriving(), swing = 3.0 * std::sqrt(a * kSecond / kRecent);
+    return std::max(a * (1.0 - strain_), (a + swing) * (1.0 - strain_ / (2.0 * kSteady)));
+  }
+
   // C_T: some jobs, a second of the tenant's tokens and their usual swing. C_J: what they pay while a job may
   // be held, small as the paper's section 6 advises. Either holds the widest job.
   int BankSize(const Tenant& t) const {
@@ -123,19 +131,17 @@
 
   void Admit(Request* r) {
     Tenant& t = tenants_[r->tenant];
-    // Exception: k counts slots, and more where a class's running time is dear for its worth against that of
-    // other jobs. By starts alone, long jobs of little worth would crowd out short ones of much.
-    const double price = run_time_[r->klass] / std::max(1e-3, Class(*r).worth);
+    // Exception: k counts slots, and more where a class's running time is dear for its worth, told for a job
+    // or for each unit of its work. By starts alone long jobs of little worth crowd out short ones of much.
+    const double price = (s_.worth_by_work ? 1.0 : run_time_[r->klass]) / std::max(1e-3, Class(*r).worth);
     mean_price_ += kLearn * (price - mean_price_);
     r->tokens = std::max(r->slots, static_cast<int>(std::lround(r->slots * price / mean_price_)));
     mean_tokens_ += kLearn * (r->tokens - mean_tokens_);
     mean_job_ += kLearn * (r->slots * run_time_[r->klass] - mean_job_);
     t.widest = std::max(t.widest, r->tokens);
-    // Traffic is dealt out unevenly, quotas evenly: a node that gets several times the mean would refuse what
-    // the fleet could take. R is at least that share of what arrives that of late met no sign of overload.
     arriving_ = Arriving() + r->tokens * kSecond / kRecent;
     arrived_at_ = now_;
-    if (accepted_) rate_ = std::max(rate_, Arriving() * (1.0 - strain_));
+    if (accepted_) rate_ = std::max(rate_, Needed());
     if (Counter(t) < r->tokens) return Finish(r);
     const int paid = std::min(t.tokens, r->tokens);
     t.tokens -= paid;
@@ -192,8 +198,7 @@
   }
 
   void WakeForTokens() {
-    const auto holds = [](const Tenant& t) { return !t.held.empty(); };
-    if (wake_at_ > now_ || std::none_of(tenants_.begin(), tenants_.end(), holds)) return;
+    if (wake_at_ > now_ || std::ranges::all_of(tenants_, [](auto& t) { return t.held.empty(); })) return;
     wake_at_ = std::min(next_token_, now_ + shortest_target_ / 4 + 1);
     SetTimerIn(wake_at_ - now_, kTokenTimer, 0);
   }
@@ -204,7 +209,7 @@
     if (change < 0.0) shallow_ -= kLearn * shallow_;
     strain_ += kLearn * ((change <= -kDown ? 1.0 : 0.0) - strain_);
     accepted_ = accepted_ || change > 0.0;
-    const double start = StartRate(), most = std::max(2.0 * start, Arriving());
+    const double start = StartRate(), most = std::max(2.0 * start, Needed());
     rate_ = std::clamp(rate_ + change * (change > 0.0 ? start : rate_), start / 8.0, most);
     if (rate_ <= start / 8.0) Tell("rate at its floor: most attempts start late, are lost or find no room");
   }
@@ -214,10 +219,8 @@
   void On(const Arrival& a) {
     if (requests_.Has(a.request)) return;
     const int klass = Lookup(class_of_, a.klass, kNone);
-    if (klass == kNone || a.time_left <= 0) {  // nothing was sent: harmless to try elsewhere
-      out_->push_back(Refuse{a.request});
-      return;
-    }
+    // Nothing was sent: harmless to try elsewhere.
+    if (klass == kNone || a.time_left <= 0) return out_->push_back(Refuse{a.request});
     Request& r = requests_.Add(a.request);
     r.klass = klass;
     r.tenant = Lookup(tenant_of_, a.tenant, static_cast<int>(tenants_.size()) - 1);
@@ -310,9 +313,8 @@
   }
 
   void Finish(Request* r) {
-    if (!std::exchange(r->ended, true)) {
+    if (!std::exchange(r->ended, true))
       out_->push_back(MayRefuse(*r) ? Action(Refuse{r->id, RetryAfter(*r)}) : Action(Fail{r->id}));
-    }
     Unhold(r);
     CallOff(r, nullptr);
     if (!r->HasOpen()) requests_.Erase(r->id);  // else its outcomes are still to come
@@ -441,8 +443,7 @@
 
   bool Cold(const Worker& w) const { return w.since > 0 && now_ - w.since < s_.warm_after; }
   double WarmShare(const Worker& w) const {  // of its capacity, at the least: it warms no slower than evenly
-    if (!Cold(w)) return 1.0;
-    return s_.cold_share + (1.0 - s_.cold_share) * Since(w.since) / s_.warm_after;
+    return !Cold(w) ? 1.0 : s_.cold_share + (1.0 - s_.cold_share) * Since(w.since) / s_.warm_after;
   }
 
   // Exception: rule 4. A cold worker gets from all nodes a rate at which even chance clusters stay below what
--- a/src/pulleyrouter_wire/codec.cpp
+++ b/src/pulleyrouter_wire/codec.cpp
@@ -273,6 +273,7 @@
   s.zone = line.TextOr("locality", "");
   s.nodes = static_cast<int>(line.IntOr("peersTotal", s.nodes));
   s.over_share_worth = line.NumberOr("overShareWorth", s.over_share_worth);
+  s.worth_by_work = line.TextOr("valueBy", "request") == "work";
   s.subscribe = line.TextOr("discovery", "automatic") == "subscribe";
   s.tells_start = line.BoolOr("familyInfo.tellsStart", s.tells_start);
   s.progress = line.IntOr("familyInfo.progress", s.progress);
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -130,13 +130,14 @@
   EXPECT_GT(Count<Refuse>(d.all), 500);
 }
 
-// Long jobs of little worth took the tokens of short ones of much: one token each, whatever they ran.
-TEST(Failures, LongJobsOfLittleWorthDoNotCrowdOutShortOnesOfMuch) {
+// The shares refused of short and of long jobs under three times what the quota lets through.
+std::pair<double, double> RefusedShortAndLong(double short_worth, double long_worth, bool by_work) {
   Settings s = BasicSettings();
   s.second_copies = false;
   s.tenants = {{"only", 1.0, 20.0}};
-  s.classes[0].worth = 10.0;  // short
-  s.classes[2].worth = 1.0;   // long
+  s.classes[0].worth = short_worth;
+  s.classes[2].worth = long_worth;
+  s.worth_by_work = by_work;
   Driver d(s);
   std::vector<WorkerEntry> workers;
   for (int i = 0; i < 40; ++i) workers.push_back(Entry("w" + std::to_string(i)));
@@ -162,7 +163,19 @@
   }
   double refused[2] = {0.0, 0.0};
   for (const Refuse& r : Only<Refuse>(d.all)) ++refused[is_long[static_cast<int>(r.request)]];
-  EXPECT_LT(2.0 * refused[0] / 1500.0, refused[1] / 500.0);
+  return {refused[0] / 1500.0, refused[1] / 500.0};
+}
+
+// Long jobs of little worth took the tokens of short ones of much: one token each, whatever they ran.
+TEST(Failures, LongJobsOfLittleWorthDoNotCrowdOutShortOnesOfMuch) {
+  const auto [of_short, of_long] = RefusedShortAndLong(10.0, 1.0, false);
+  EXPECT_LT(2.0 * of_short, of_long);
+}
+
+// Long jobs were refused first as if they brought no more than short ones, though their worth was told by work.
+TEST(Failures, LongJobsWhoseWorthIsToldByWorkAreNotRefusedFirst) {
+  const auto [of_short, of_long] = RefusedShortAndLong(5.0, 8.0, true);
+  EXPECT_LT(of_long, 1.1 * of_short);
 }
 
 // Where workers turn away what they cannot start, a rate that stayed where a sixth of the starts is late
--- a/tests/throttle_test.cpp
+++ b/tests/throttle_test.cpp
@@ -157,7 +157,6 @@
   std::mt19937_64 random(seed);
   std::exponential_distribution<double> gap(4.0);
   std::bernoulli_distribution turns_away(turned_away);
-  int refused = 0, all = 0;
   for (int id = 0; id < 400; ++id) {
     d.Advance(d.now + static_cast<Micros>(gap(random) * kSecond));
     const auto actions = d.Arrive(id, "repeatable", 1000 * kSecond, 1, "only");
@@ -170,15 +169,17 @@
         d.End(attempt, 0, Outcome::kServed, /*request_ended=*/true);
       }
     }
-    all += id >= 40;
-    refused += id >= 40 && Count<Refuse>(actions) > 0;
   }
-  return static_cast<double>(refused) / all;
+  d.Advance(d.now + 10 * kSecond);  // those held longer than they may be are refused by then
+  const auto refused = Only<Refuse>(d.all);
+  const auto later = std::count_if(refused.begin(), refused.end(),
+                                   [](const Refuse& r) { return static_cast<std::uint64_t>(r.request) >= 40; });
+  return static_cast<double>(later) / 360;
 }
 
 TEST(Throttle, ANodeWithSeveralTimesTheMeanServesWhatWorkersAccept) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    EXPECT_LT(RefusedAtABusyNode(0.0, seed), 0.05) << "seed " << seed;
+    EXPECT_LT(RefusedAtABusyNode(0.0, seed), 0.01) << "seed " << seed;
     EXPECT_GT(RefusedAtABusyNode(0.7, seed), 0.35) << "seed " << seed;
   }
 }
