Start many real dispatchers, break them and their links by a timetable, judge from outside

Need: how processes behave together when some fail was shown with three daemons, by scripts; agreed versions, failover and choices in common need a rig that draws faults from seeds and judges by what workers and clients saw. Ruled out: jobs lost at SIGTERM on slow machines (what was asked is put on the wire first); overlaps that a slow link only seems to show (judged by the dispatcher's end of the connection, TCP_INFO). Not yet replaced: cluster_test's harness; discovery, UDP links, disk and clock faults are to come.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -291,6 +291,9 @@
 void Reducer::End(ExecutionNo number, Outcome outcome, std::string result, LoadReport report, bool stop) {
   const auto found = executions_.find(number);
   if (found == executions_.end()) return;  // ended already: the first outcome stands
+#ifdef ALDERSILL_PLANT_LOST_NEVER_RAN  // planted where a search must find it
+  if (outcome == Outcome::kLost) outcome = Outcome::kConnectFailed;
+#endif
   const Execution x = std::move(found->second);
   executions_.erase(found);
   ++counters_.executions[static_cast<std::size_t>(outcome)];
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -152,6 +152,9 @@
 }
 
 void Daemon::EndIfQuiet() {
+#ifdef ALDERSILL_PLANT_HASTY_END  // planted where a search must find it
+  return static_cast<void>(event_base_loopbreak(base_.get()));
+#endif
   const bool quiet = reducer_.Quiet() && std::all_of(parts_.begin(), parts_.end(),
                                                      [](const auto& part) { return part->Quiet(); });
   if (quiet && Now() - drain_began_ >= kLinger) {
--- a/tests/daemon/daemon_under_test.h
+++ b/tests/daemon/daemon_under_test.h
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -28,7 +29,7 @@
   // Waits until it serves, or has ended: ports() is empty then.
   DaemonUnderTest(const nlohmann::json& config, const nlohmann::json& settings,
                   const char* settings_variable = "ALDERSILL_SETTINGS",
-                  const std::string& serving = " serving ") {
+                  const std::string& serving = " serving ", const std::string& program = ALDERSILL_PROGRAM) {
     std::string pattern = (std::filesystem::temp_directory_path() / "aldersill-XXXXXX").string();
     if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp");
     folder_ = pattern;
@@ -43,7 +44,7 @@
       setenv("GW_CONFIG", (folder_ / "config.json").c_str(), 1);
       setenv(settings_variable, (folder_ / "aldersill.yaml").c_str(), 1);
       for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY"}) unsetenv(name);
-      execl(ALDERSILL_PROGRAM, ALDERSILL_PROGRAM, nullptr);
+      execl(program.c_str(), program.c_str(), nullptr);
       _exit(127);
     }
     close(log[1]);
@@ -96,6 +97,13 @@
     pid_ = -1;
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
+  // As Wait, at once: nothing while it runs. What it logs meanwhile is not read.
+  std::optional<int> Ended() {
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
   const std::string& log() const { return all_; }
 
  private:
--- /dev/null
+++ b/tests/fleet/fleet.h
@@ -0,0 +1,28 @@
+// Runs a timetable: real daemons, stand-in workers and service clients, and a link of its own between each dispatcher and each
+// worker, all but the daemons on one event loop.
+#ifndef ALDERSILL_TESTS_FLEET_FLEET_H_
+#define ALDERSILL_TESTS_FLEET_FLEET_H_
+
+#include <string>
+#include <vector>
+
+#include "fleet/checker.h"
+#include "fleet/timetable.h"
+
+namespace aldersill::fleet {
+
+struct Run {
+  std::vector<Seen> seen;
+  int carried_out = 0;  // faults
+  int bad_ends = 0;     // dispatchers that ended by themselves other than with 0 after SIGTERM
+  double seconds = 0.0;
+};
+
+// Returns once every client has its answer or its end; a client waits for a minute. Throws std::runtime_error where the rig
+// itself cannot go on. Descriptors: three a link in use, some ten a dispatcher.
+// `program`: the dispatcher.
+Run Play(const Timetable& table, const std::string& program);
+
+}  // namespace aldersill::fleet
+
+#endif  // ALDERSILL_TESTS_FLEET_FLEET_H_
--- /dev/null
+++ b/tests/fleet/main.cpp
@@ -0,0 +1,77 @@
+// Plays seeds, or one timetable from a file, and judges them. A failing one prints itself and is cut down by leaving faults out
+// one after another, as long as it still fails.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "fleet/checker.h"
+#include "fleet/fleet.h"
+#include "fleet/timetable.h"
+
+namespace {
+
+using namespace aldersill::fleet;
+
+std::vector<std::string> Broken(const Timetable& table, const std::string& program, bool tell) {
+  const Run run = Play(table, program);
+  Judgement j = Judge(run.seen, {"cobro"}, 5);
+  if (run.bad_ends > 0) j.broken.push_back("a dispatcher ended by itself, or after SIGTERM not with 0");
+  // A run in which nothing happened would pass anything.
+  if (j.asked < table.requests / 2 || j.served == 0) j.broken.push_back("too few jobs were asked for or served");
+  if (tell)
+    std::printf("seed %llu: %d asked, %d served, %d refused, %d failed, %d with their dispatcher killed; %d attempts, %d runs, "
+                "%d faults, %.1f s%s\n",
+                static_cast<unsigned long long>(table.seed), j.asked, j.served, j.refused, j.failed, j.excused, j.attempts,
+                j.ran, run.carried_out, run.seconds, j.broken.empty() ? "" : ": BROKEN");
+  std::fflush(stdout);
+  return j.broken;
+}
+
+Timetable CutDown(Timetable table, const std::string& program) {
+  for (std::size_t at = table.faults.size(); at-- > 0;) {
+    Timetable fewer = table;
+    fewer.faults.erase(fewer.faults.begin() + static_cast<std::ptrdiff_t>(at));
+    if (!Broken(fewer, program, false).empty()) table = std::move(fewer);
+  }
+  return table;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Plays timetables of faults against real dispatchers and judges what was seen outside of them");
+  std::uint64_t first = 1;
+  int count = 1, dispatchers = 12, workers = 6;
+  std::string file, program = ALDERSILL_PROGRAM;
+  bool cut_down = true, planted = false;
+  app.add_option("--first", first, "first seed");
+  app.add_option("--count", count, "how many seeds")->check(CLI::PositiveNumber);
+  app.add_option("--dispatchers", dispatchers)->check(CLI::Range(1, 100));
+  app.add_option("--workers", workers)->check(CLI::Range(1, 100));
+  app.add_option("--timetable", file, "play this one instead, in YAML")->check(CLI::ExistingFile);
+  app.add_option("--program", program, "the dispatcher to be started")->check(CLI::ExistingFile);
+  app.add_flag("--planted", planted, "the program has a planted defect: fail unless a rule is broken within the seeds");
+  app.add_flag("!--whole", cut_down, "do not cut a failing timetable down");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    for (int i = 0; i < (file.empty() ? count : 1); ++i) {
+      Timetable table = Draw(first + static_cast<std::uint64_t>(i), dispatchers, workers);
+      if (!file.empty()) {
+        std::ifstream in(file);
+        table = FromYaml({std::istreambuf_iterator<char>(in), {}});
+      }
+      const std::vector<std::string> broken = Broken(table, program, true);
+      if (broken.empty()) continue;
+      for (const std::string& line : broken) std::cout << "  " << line << "\n";
+      if (planted) return 0;
+      std::cout << "as a timetable, to be played with --timetable:\n" << ToYaml(cut_down ? CutDown(table, program) : table);
+      return 1;
+    }
+  } catch (const std::exception& e) {
+    std::cerr << "fleet_search: " << e.what() << "\n";
+    return 2;
+  }
+  return planted ? 1 : 0;
+}
