--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -11,13 +11,7 @@
 namespace aldersill::fleet {
 namespace {
 
-sockaddr_in Loopback(std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
+sockaddr_in Loopback(std::uint16_t port) { return ToSockaddr({"127.0.0.1", port}); }
 
 // Whether the peer has ended its sending, even if what it sent before is not read yet.
 bool PeerIsDone(int fd) {
