Read Req-Cost as what it is, bare microseconds: the second deployment is served

Ruled out: the deadline itself (absent from no request). At fault: DecodeJob in src/http/codec.cpp, which read Req-Cost with the deadline's decoder. It is now read as a number of microseconds up to an hour; one that cannot be read is no reason to turn a job away, as it is a guess.

--- a/src/http/codec.cpp
+++ b/src/http/codec.cpp
@@ -12,6 +12,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMostValue = 1'024;  // of a field that is passed on
+constexpr std::int64_t kMostCost = 3'600'000'000;  // microseconds: no honest guess says more than an hour
 
 LoadReport LoadOf(const Json& json) {
   LoadReport load;
@@ -90,7 +91,8 @@
   job.time_left = DecodeDeadline(Header(request, "req-deadline"));
   job.subject = DecodeSubject(path, job.klass);
   DecodeExtras(Header(request, "req-extra"), &job);
-  if (const std::string cost = Header(request, "req-cost"); !cost.empty()) job.work = DecodeDeadline(cost);
+  // A guess at the work, as bare microseconds: of use where it can be read, no reason to turn a job away.
+  if (const auto cost = Figure<std::int64_t>(Header(request, "req-cost")); cost && *cost > 0 && *cost <= kMostCost) job.work = *cost;
   job.body = std::move(request.body);
   return job;
 }
