Tell of each request that a front turns away: a count, a warning a reason, a debug line

A site whose every request was answered 400 by the HTTP front saw nothing of it: ClientFront::Connection wrote the answer (Take, Refuse) and told neither the core nor the log.

The front now tells the core of each (RequestTurnedAway), which counts it by status; the agent shows the counts as asTurnedAwayTable. A line a request at level warning was ruled out: such a client sends all of its requests wrong, and the log's rate would then drop the lines of others. A nack's request_answered line says what the core knows of it: nothing sent, no instance ready, after attempts, an earlier run still out.

Measured: three jobs with a bare deadline make three debug lines and two warnings, count 1 and 2.

--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
   std::array<std::uint64_t, 8> executions{};  // ended, by pulleyrouter::Outcome
   std::uint64_t executions_started = 0;
   std::uint64_t repeats_barred = 0;
+  // Answered by a front itself, as no job could be read off them. By status, the ones that a front gives.
+  std::map<int, std::uint64_t> turned_away{{400, 0}, {405, 0}, {408, 0}, {413, 0}, {431, 0}, {503, 0}};
   std::uint64_t name_table_news = 0, name_table_failures = 0;
   std::uint64_t open_requests = 0, open_executions = 0;       // gauges
   std::uint64_t ready_instances = 0, draining_instances = 0;  // gauges
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -80,7 +80,7 @@
     ++counters_.repeats_barred;
     ++(never ? counters_.classes[counter].failed : counters_.classes[counter].nacked);
     if (never) return Ask(Answer{e.client, Failure{Failure::Why::kRepeat}});
-    return Ask(Answer{e.client, Nack{s_.module.max_retry_after}});
+    return Ask(Answer{e.client, Nack{Nack::Why::kRepeatOut, s_.module.max_retry_after}});
   }
   const std::uint64_t number = next_request_++;
   Request& r = requests_[number];
@@ -101,6 +101,8 @@
                                         r.deadline - now_, r.job->work, r.job->slots, r.job->is_retry});
 }
 
+void Reducer::On(RequestTurnedAway&& e) { ++counters_.turned_away[e.status]; }
+
 void Reducer::On(ClientLeft&& e) {
   const auto found = by_client_.find(e.client);
   if (found == by_client_.end()) return;
@@ -256,8 +258,14 @@
 void Reducer::Do(const pulleyrouter::Refuse& a) {
   // Advice is owed with every nack: without a figure of the module's, the longest a client honours.
   const Micros wait = a.retry_after > 0 ? a.retry_after : s_.module.max_retry_after;
-  Finish(static_cast<std::uint64_t>(a.request), Nack{wait});
-  ForgetIfDone(static_cast<std::uint64_t>(a.request));
+  const std::uint64_t number = static_cast<std::uint64_t>(a.request);
+  const auto found = requests_.find(number);
+  const bool tried = found != requests_.end() && !found->second.executions.empty();
+  Finish(number, Nack{tried                            ? Nack::Why::kAfterAttempts
+                      : counters_.ready_instances == 0 ? Nack::Why::kNoInstance
+                                                       : Nack::Why::kNothingSent,
+                      wait});
+  ForgetIfDone(number);
 }
 
 void Reducer::Do(const pulleyrouter::Fail& a) {
@@ -291,7 +299,7 @@
 void Reducer::End(ExecutionNo number, Outcome outcome, std::string result, LoadReport report, bool stop) {
   const auto found = executions_.find(number);
   if (found == executions_.end()) return;  // ended already: the first outcome stands
-#ifdef ALDERSILL_PLANT_LOST_NEVER_RAN  // planted where a search must find it
+#ifdef ALDERSILL_PLANT_LOST_NEVER_RAN      // planted where a search must find it
   if (outcome == Outcome::kLost) outcome = Outcome::kConnectFailed;
 #endif
   const Execution x = std::move(found->second);
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -52,6 +52,7 @@
   };
 
   void On(RequestTaken&& e);
+  void On(RequestTurnedAway&& e);
   void On(ClientLeft&& e);
   void On(ExecutionHandedOver&& e);
   void On(ExecutionProgress&& e);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -86,6 +86,12 @@
   ClientRef client;
   Job job;
 };
+struct RequestTurnedAway {  // answered by its front, which could read no job off it
+  ClientRef::Front front = ClientRef::Front::kHttp;
+  int status = 400;
+  std::string why;
+  std::string id;  // empty where none was read
+};
 struct ClientLeft {
   ClientRef client;
 };
@@ -129,9 +135,9 @@
   Micros elapsed = 0;
   LoadReport report;
 };
-using Event =
-    std::variant<RequestTaken, ClientLeft, ExecutionHandedOver, ExecutionProgress, ExecutionEnded,
-                 ExecutionReleased, TimerDue, NameTableNews, NameTableFailed, ProbeAnswered, SettingsChanged>;
+using Event = std::variant<RequestTaken, RequestTurnedAway, ClientLeft, ExecutionHandedOver,
+                           ExecutionProgress, ExecutionEnded, ExecutionReleased, TimerDue, NameTableNews,
+                           NameTableFailed, ProbeAnswered, SettingsChanged>;
 
 // ---- Effects ----
 
@@ -151,6 +157,8 @@
   std::string result;
 };
 struct Nack {  // trying again is harmless, and welcome after this long
+  // What the core knows of the refusal; why the module holds a job back is the module's own.
+  enum class Why { kNothingSent, kNoInstance, kAfterAttempts, kRepeatOut } why = Why::kNothingSent;
   Micros retry_after = 0;
 };
 struct Failure {
--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -3,6 +3,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <ctime>
 #include <tuple>
 #include <utility>
@@ -37,6 +38,14 @@
 constexpr Micros kCloseEvery = 20 * kMillisecond;
 constexpr Micros kBusyAdvice = 500 * kMillisecond;
 
+// For the log, of a request that may be no good: its first.
+std::string IdOf(const HttpRequest& request) {
+  for (const auto& [name, value] : request.headers) {
+    if (evutil_ascii_strcasecmp(name.c_str(), "Req-Id") == 0) return value;
+  }
+  return "";
+}
+
 const char* ReasonOf(int code) {
   switch (code) {
     case 200:
@@ -167,7 +176,7 @@
   void OnTimer() {
     if (state_ == State::kLingering || (state_ == State::kReading && !reader_.begun()))
       return front_->Remove(this);
-    if (state_ == State::kReading) Refuse(408, "the request has not come whole in time\n");
+    if (state_ == State::kReading) Refuse(408, "the request has not come whole in time");
   }
 
   void Read() {
@@ -188,7 +197,7 @@
         if (reader_.WantsContinue()) bufferevent_write(stream_.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25);
         if (reader_.whole()) Take();
       } catch (const BadRequest& e) {
-        return Refuse(e.code, std::string(e.what()) + "\n");
+        return Refuse(e.code, e.what());
       }
     }
   }
@@ -208,11 +217,16 @@
     HttpRequest request = std::move(reader_.request());
     head_only_ = request.method == "HEAD";
     if (request.target == "/-/ready" && request.method == "GET") return Write(200, "ready\n");
-    if (request.method != "POST") return Write(405, "jobs come by POST\n", "Allow: POST\r\n");
+    const std::string id = IdOf(request);
+    if (request.method != "POST") {
+      front_->TurnedAway(405, "jobs come by POST", id);
+      return Write(405, "jobs come by POST\n", "Allow: POST\r\n");
+    }
     Job job;
     try {
       job = DecodeJob(std::move(request), front_->s_.keyed);
     } catch (const BadMessage& e) {
+      front_->TurnedAway(400, e.what(), id);
       return Write(400, std::string(e.what()) + "\n");
     }
     state_ = State::kHeld;
@@ -222,10 +236,11 @@
   }
 
   // An answer after which nothing more can be read off this connection.
-  void Refuse(int code, const std::string& text) {
+  void Refuse(int code, const std::string& why) {
     keep_ = false;
     Count(0);
-    Write(code, text, code == 503 ? "Retry-After: " + DecimalSeconds(kBusyAdvice) + "\r\n" : "");
+    front_->TurnedAway(code, why, IdOf(reader_.request()));
+    Write(code, why + "\n", code == 503 ? "Retry-After: " + DecimalSeconds(kBusyAdvice) + "\r\n" : "");
   }
 
   void Write(int code, const std::string& body, const std::string& headers = "") {
@@ -293,8 +308,9 @@
       sink_(sink),
       listener_(Open(listen)),
       drain_timer_(base, [this] { CloseIdle(); }),
-      room_timer_(base, [this] { MindTheDoor(); }) {}
-ClientFront::~ClientFront() = default;
+      room_timer_(base, [this] { MindTheDoor(); }),
+      turned_away_timer_(base, [this] { TellTurnedAway(false); }) {}
+ClientFront::~ClientFront() { TellTurnedAway(true); }
 
 EventPtr<evconnlistener> ClientFront::Open(const Endpoint& listen) {
   return ListenOn(base_, listen, "listen", &ClientFront::OnAccept, this);
@@ -354,6 +370,21 @@
   if (held_.erase(client) > 0) sink_->Tell(ClientLeft{{ClientRef::Front::kHttp, client}});
 }
 
+void ClientFront::TurnedAway(int status, const std::string& why, const std::string& id) {
+  sink_->Tell(RequestTurnedAway{ClientRef::Front::kHttp, status, why, id});
+  turned_away_.Add(status, why, id);
+  TellTurnedAway(false);
+}
+
+void ClientFront::TellTurnedAway(bool all) {
+  const Micros now = SteadyNow();
+  for (const TurnedAwayNotices::Notice& n : turned_away_.Take(now, all)) {
+    Log(LogLevel::kWarning, "requests_turned_away",
+        {{"status", n.status}, {"why", n.why}, {"count", n.count}, {"example", n.example}});
+  }
+  if (const auto wait = turned_away_.NextIn(now)) turned_away_timer_.Set(std::max<Micros>(1, *wait));
+}
+
 void ClientFront::Reply(std::uint64_t client, const FinalAnswer& answer) {
   const auto found = held_.find(client);
   if (found == held_.end()) return;
--- a/src/http/client_front.h
+++ b/src/http/client_front.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "core/types.h"
+#include "http/turned_away.h"
 #include "net/event_loop.h"
 
 namespace aldersill {
@@ -45,6 +46,9 @@
 
   static void OnAccept(evconnlistener* listener, evutil_socket_t fd, sockaddr* peer, int size, void* self);
   void Remove(Connection* connection);
+  // One that the front answers itself: counted by the core, and told in the log.
+  void TurnedAway(int status, const std::string& why, const std::string& id);
+  void TellTurnedAway(bool all);
   // Ends the connection that can best be spared for the next newcomer; false if there is none.
   bool MakeRoom();
   void MindTheDoor();
@@ -58,6 +62,8 @@
   std::unordered_map<std::uint64_t, Connection*> held_;  // requests that wait for their answer
   Timer drain_timer_;
   Timer room_timer_;
+  TurnedAwayNotices turned_away_;
+  Timer turned_away_timer_;
   std::size_t unfinished_bytes_ = 0;
   Micros last_accept_ = 0;
   Micros drain_began_ = 0;
--- a/src/log/trace.cpp
+++ b/src/log/trace.cpp
@@ -10,6 +10,9 @@
 constexpr const char* kOutcomes[] = {"served",         "error", "full",      "timeout",
                                      "connect_failed", "lost",  "cancelled", "not_sent"};
 
+// In the order of Nack::Why.
+constexpr const char* kRefusals[] = {"nothing_sent", "no_instance", "after_attempts", "repeat_out"};
+
 const char* Name(Outcome outcome) { return kOutcomes[static_cast<std::size_t>(outcome)]; }
 
 // A figure that was not told is -1.
@@ -25,6 +28,13 @@
          {"retry", e.job.is_retry},
          {"left_ms", e.job.time_left / kMillisecond}});
   }
+  void operator()(const RequestTurnedAway& e) const {
+    Log(LogLevel::kDebug, "request_turned_away",
+        {{"front", e.front == ClientRef::Front::kHttp ? "http" : "faktory"},
+         {"id", e.id},
+         {"status", e.status},
+         {"why", e.why}});
+  }
   void operator()(const ClientLeft& e) const {
     Log(LogLevel::kDebug, "client_left", {{"client", e.client.number}});
   }
@@ -51,8 +61,9 @@
     for (const Instance& i : e.instances) {
       Log(LogLevel::kDebug, "instance_told",
           {{"instance", i.name},
-           {"state", i.state == Instance::State::kReady ? "ready"
-                     : i.state == Instance::State::kDraining ? "draining" : "gone"},
+           {"state", i.state == Instance::State::kReady      ? "ready"
+                     : i.state == Instance::State::kDraining ? "draining"
+                                                             : "gone"},
            {"zone", i.zone},
            {"kind", i.kind},
            {"weight", i.weight},
@@ -65,7 +76,9 @@
 struct EffectLines {
   void operator()(const StartExecution& e) const {
     Log(LogLevel::kDebug, "execution_started",
-        {{"execution", static_cast<std::uint64_t>(e.execution)}, {"id", e.job->id}, {"instance", e.instance}});
+        {{"execution", static_cast<std::uint64_t>(e.execution)},
+         {"id", e.job->id},
+         {"instance", e.instance}});
   }
   void operator()(const StopExecution& e) const {
     Log(LogLevel::kDebug, "execution_stopped", {{"execution", static_cast<std::uint64_t>(e.execution)}});
@@ -76,15 +89,16 @@
   void operator()(const Answer& e) const {
     const auto* nack = std::get_if<Nack>(&e.answer);
     const auto* failure = std::get_if<Failure>(&e.answer);
-    const char* what = nack != nullptr                               ? "nack"
-                       : failure == nullptr                          ? "served"
-                       : failure->why == Failure::Why::kTooLate      ? "too_late"
-                       : failure->why == Failure::Why::kRepeat       ? "repeat"
-                                                                     : "failed";
+    const char* what = nack != nullptr                          ? "nack"
+                       : failure == nullptr                     ? "served"
+                       : failure->why == Failure::Why::kTooLate ? "too_late"
+                       : failure->why == Failure::Why::kRepeat  ? "repeat"
+                                                                : "failed";
     Log(LogLevel::kDebug, "request_answered",
         {{"client", e.client.number},
          {"what", what},
-         {"retry_after_ms", nack != nullptr ? nack->retry_after / kMillisecond : 0}});
+         {"retry_after_ms", nack != nullptr ? nack->retry_after / kMillisecond : 0},
+         {"why", nack != nullptr ? kRefusals[static_cast<std::size_t>(nack->why)] : ""}});
   }
   void operator()(const auto&) const {}
 };
--- a/src/snmp/objects.cpp
+++ b/src/snmp/objects.cpp
@@ -41,6 +41,8 @@
     objects[{3, 1, 2, i + 1}] = std::string(kOutcomes[i]);
     objects[{3, 1, 3, i + 1}] = Counter{c.executions[i]};
   }
+  for (const auto& [status, count] : c.turned_away)
+    objects[{7, 1, 2, static_cast<std::uint64_t>(status)}] = Counter{count};
   return objects;
 }
 
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -260,7 +260,7 @@
   cluster::AddObjects(cluster, {}, membership::Sealer({membership::Key{}}, 1), kStart, &objects);
   for (const auto& [id, value] : objects)
     shown.insert(snmp::ObjectId(id.begin(), id.end() - 1));  // less the index, or a scalar's 0
-  CHECK(shown.size() == 17 + 25 + 2);
+  CHECK(shown.size() == 17 + 25 + 3);
   CHECK(shown == ObjectsOfMib());
 }
 
--- a/tests/daemon/lifecycle_test.cpp
+++ b/tests/daemon/lifecycle_test.cpp
@@ -101,12 +101,14 @@
   REQUIRE(daemon.Logs("discovery_moved"));
   // The new address is asked for its whole list, under no version of the old one. Until it answers the
   // workers known serve on, and the class that is new is known.
-  CHECK(player.Play("accept e d2\n" + Call("e", "") + Ask("b", "nueva", "r2") +
-                    "accept y w1\n" + Run("y", "nueva", "r2") + Done("x", "r1") + "expect a\n" + served +
-                    Done("y", "r2") + "expect b\n" + served) == "");
-  // What the old address has to tell meanwhile holds: its worker is gone, and what it says last comes from it alone.
+  CHECK(player.Play("accept e d2\n" + Call("e", "") + Ask("b", "nueva", "r2") + "accept y w1\n" +
+                    Run("y", "nueva", "r2") + Done("x", "r1") + "expect a\n" + served + Done("y", "r2") +
+                    "expect b\n" + served) == "");
+  // What the old address has to tell meanwhile holds: its worker is gone, and what it says last comes from it
+  // alone.
   CHECK(player.Play(List("d", 41, "s-3", "w2") + Call("d", "?index=41&wait={*}") + Ask("f", "cobro", "r4") +
-                    "accept v w2\n" + Run("v", "cobro", "r4") + Done("v", "r4") + "expect f\n" + served) == "");
+                    "accept v w2\n" + Run("v", "cobro", "r4") + Done("v", "r4") + "expect f\n" + served) ==
+        "");
   // From the new list on nothing of the old one counts: it is not watched any more.
   CHECK(player.Play(List("e", 3, "s-2", "w1") + Call("e", "?index=3&wait={*}") + "expect-end d\n" +
                     Ask("c", "cobro", "r3") + "accept z w1\n" + Run("z", "cobro", "r3") + Done("z", "r3") +
@@ -130,6 +132,30 @@
   CHECK(daemon.Wait() == 0);
 }
 
+TEST_CASE("what a front turns away is told: one warning a reason, and at level debug a line each") {
+  DaemonUnderTest daemon(Config(), {{"logging", {{"level", "debug"}}}});
+  tools::Player player({{"http", daemon.ports().at("http")}});
+  std::string bad;
+  for (const char* id : {"b1", "b2", "b3"}) {
+    bad += "connect " + std::string(id) + " http\nsend " + id + "\n| POST /cobro HTTP/1.1\n| Req-Id: " + id +
+           "\n| Req-Deadline: 10\n| Content-Length: 0\n|\nexpect " + id + "\n| HTTP/1.1 400 Bad Request\n";
+  }
+  CHECK(player.Play(bad + "connect g http\nsend g\n| hello\nexpect g\n| HTTP/1.1 400 Bad Request\n" +
+                    Ask("n", "cobro", "n1") + "expect n\n| HTTP/1.1 503 Service Unavailable\n") == "");
+  daemon.Signal(SIGTERM);
+  CHECK(daemon.Wait() == 0);
+  const auto has = [&](const std::string& line) {
+    return daemon.log().find(line + "\n") != std::string::npos;
+  };
+  const std::string why = " status=400 why=\"deadline must be a number and a unit\"";
+  for (const char* id : {"b1", "b2", "b3"})
+    CHECK(has("debug request_turned_away front=http id=" + std::string(id) + why));
+  CHECK(has("warning requests_turned_away" + why + " count=1 example=b1"));
+  CHECK(has("warning requests_turned_away" + why + " count=2 example=b3"));
+  CHECK(has("warning requests_turned_away status=400 why=\"no HTTP/1 request\" count=1 example=\"\""));
+  CHECK(has(" why=no_instance"));
+}
+
 TEST_CASE("on SIGTERM what was taken is finished, newcomers are served, then it ends with 0") {
   tools::Player player({});
   const std::uint16_t worker = player.Listen("w1");
--- a/tests/daemon/snmp_test.cpp
+++ b/tests/daemon/snmp_test.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "daemon_under_test.h"
+#include "player.h"
 #include "snmp_probe.h"
 #include "standins.h"
 
@@ -41,8 +42,16 @@
   CHECK(probe.Get(Id("2.1.4.3"))->value == "1");  // served
   CHECK(probe.Get(Id("3.1.3.1"))->value == "1");  // executions served
 
+  // What a front turns away is no job of any class.
+  CHECK(tools::Player({{"http", daemon.ports().at("http")}})
+            .Play("connect h http\nsend h\n| PUT /cobro HTTP/1.1\n|\n"
+                  "expect h\n| HTTP/1.1 405 Method Not Allowed\n") == "");
+  CHECK(probe.Get(Id("7.1.2.405"))->value == "1");
+  CHECK(probe.Get(Id("7.1.2.400"))->value == "0");
+  CHECK(probe.Get(Id("2.1.3.3"))->value == "1");
+
   // GETNEXT walks all of it once, from before the root and from a gap as well.
-  CHECK(probe.Walk(tools::kAldersillMib).size() == 8 + 3 * 7 + 8 * 2);
+  CHECK(probe.Walk(tools::kAldersillMib).size() == 8 + 3 * 7 + 8 * 2 + 6);
   CHECK(probe.GetNext("1.3.6.1.4.1.8072.9999.9999.7418")->id == Id("1.1.0"));
   CHECK(probe.GetNext(Id("1.8.0"))->id == Id("2.1.2.1"));
   CHECK(probe.GetNext(Id("2.1.2.3"))->id == Id("2.1.3.1"));
