Give a missing field, an unknown one and a bad value errors of their own

An operator was told of all three by one type of error; the near name was offered even where none was near, and a misspelt field of the platform's JSON was silently left unread (ReadModule in src/config/config.cpp asks for the names it knows and for no others).

MissingField, UnknownField and BadValue carry a code, the field's path and the sentence; SIGHUP's configuration_refused line shows code and field. An unknown field of our YAML tells what is accepted, and the near name only where there is one (src/config/near_name.h). In the platform's JSON a word that is none of the accepted ones is told with those, weights included. To refuse its unknown fields was ruled out, as its page says that further keys may appear: they are one warning, configuration_fields_unknown, and the program serves; check-config lists them. Fields that a site may leave out are still optional: a file with a listen address and one class's name starts.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -54,9 +54,12 @@
   for (const std::string& path : files) {
     try {
       const bool platform = LooksLikePlatformFile(path);
-      platform ? static_cast<void>(ReadPlatformFile(path)) : static_cast<void>(ReadOperatorFile(path));
+      std::vector<std::string> unknown;
+      platform ? static_cast<void>(unknown = ReadPlatformFile(path).unknown)
+               : static_cast<void>(ReadOperatorFile(path));
       std::printf("%s: good, as %s\n", path.c_str(),
                   platform ? "the platform's configuration" : "the operator's settings");
+      for (const std::string& field : unknown) std::printf("%s: not read: %s\n", path.c_str(), field.c_str());
     } catch (const std::exception& e) {
       status = Complain(e);
     }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,12 +1,15 @@
 #include "config/config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <set>
 
+#include "config/near_name.h"
 #include "config/operator_file.h"
 #include "name_table/codec.h"
 #include "net/json_message.h"
@@ -38,10 +41,13 @@
   const std::string& path() const { return path_; }
   bool present() const { return json_ != nullptr; }
   const Json& json() const { return *json_; }
-  [[noreturn]] void Bad(const std::string& what) const { throw ConfigError(path_ + " " + what); }
+  [[noreturn]] void Bad(const std::string& what) const { throw BadValue(path_, path_ + " " + what); }
+  [[noreturn]] void Missing(const std::string& wanted) const {
+    throw MissingField(path_, path_ + " is missing: it must be " + wanted);
+  }
 
   std::string Text() const {
-    if (json_ == nullptr) Bad("is missing");
+    if (json_ == nullptr) Missing("a string");
     if (!json_->is_string()) Bad("must be a string");
     return json_->get<std::string>();
   }
@@ -77,12 +83,14 @@
 T OneOf(const Field& field, const std::string& fallback,
         std::initializer_list<std::pair<const char*, T>> words) {
   const std::string text = field.Text(fallback);
-  std::string wanted;
+  std::vector<std::string> wanted;
   for (const auto& [word, value] : words) {
     if (text == word) return value;
-    wanted += (wanted.empty() ? "" : ", ") + std::string(word);
+    wanted.push_back(word);
   }
-  field.Bad("must be one of " + wanted);
+  const std::string near = NearName(text, wanted);
+  field.Bad("must be one of " + Listed(wanted) + ", not '" + text + "'" +
+            (near.empty() ? "" : ": did you mean '" + near + "'?"));
 }
 
 // The i-th of a list that may be shorter: its last item serves for the rest.
@@ -125,6 +133,7 @@
   using Reports = pulleyrouter::Settings::Reports;
   pulleyrouter::Settings s;
   const std::vector<Field> classes = f["grades"].Items();
+  if (!f["grades"].present()) f["grades"].Missing("the list of classes, each with its name");
   if (classes.empty()) f["grades"].Bad("must name at least one class");
   for (std::size_t i = 0; i < classes.size(); ++i)
     s.classes.push_back(ReadClass(classes[i], f["familyInfo"], i));
@@ -146,6 +155,13 @@
   s.reports = OneOf<Reports>(
       f["report"]["how"], "silent",
       {{"silent", Reports::kNone}, {"piggyback", Reports::kWithAnswers}, {"pull", Reports::kProbesOnly}});
+  // No part of ours: a word that is unknown says that the weights in discovery's list mean something else.
+  enum class Weights { kSilent, kNominal, kRough, kLive };
+  OneOf<Weights>(f["weights"], "silent",
+                 {{"silent", Weights::kSilent},
+                  {"nominal", Weights::kNominal},
+                  {"rough", Weights::kRough},
+                  {"live", Weights::kLive}});
   const Field limits = f["limits"], rules = f["rules"], prices = f["prices"];
   s.probes = limits["probes"].Bool(s.probes);
   s.cancel = limits["cancel"].Bool(s.cancel);
@@ -165,6 +181,76 @@
   return s;
 }
 
+// Every field that the platform's pages name, read here or not, so that a misspelt one is seen.
+const std::set<std::string>& PlatformFields() {
+  static const std::set<std::string> kFields = [] {
+    const std::pair<const char*, std::vector<const char*>> kGroups[] = {
+        {"",
+         {"name", "listen", "discovery", "seed", "limits", "known", "settings", "peers", "peers_all",
+          "peer_listen"}},
+        {"limits.", {"cores", "memory_mb", "sockets"}},
+        {"settings.", {"clients", "discovery", "familyInfo",   "goal",           "grades",     "layer",
+                       "limits",  "locality",  "machineTypes", "overShareWorth", "peersTotal", "prices",
+                       "report",  "rules",     "slotNo",       "tenants",        "tick",       "tiers",
+                       "valueBy", "weights",   "workload",     "zones"}},
+        {"settings.clients.", {"marksRetry"}},
+        {"settings.familyInfo.",
+         {"classKind", "classPriority", "classStretch", "memoryUnit", "notes", "progress", "queueOrder",
+          "reportX0", "reportX1", "tellsStart"}},
+        {"settings.goal.", {"whole", "worstClass", "worstTenant", "worstWindow"}},
+        {"settings.grades[].",
+         {"aimStretch", "deadline", "dedupScope", "dedupWindow", "lateValue", "name", "repeat", "streaming",
+          "target", "worth"}},
+        {"settings.limits.",
+         {"cancel", "connIdle", "cpuUsPerRequest", "cpuUsPerS", "dialTimeout", "maxAttempts", "maxOpen",
+          "maxRetryAfter", "maxStreams", "peers", "probes", "retryAfter", "secondCopies"}},
+        {"settings.prices.",
+         {"connection", "crossZone", "discovery", "fleet", "handshake", "lateFail", "moves", "origin", "peer",
+          "probe", "waste"}},
+        {"settings.report.", {"fields", "how"}},
+        {"settings.rules.",
+         {"answerSlack", "coldShare", "drainGrace", "fall", "mustAskIn", "overloadFactor", "warmAfter"}},
+        {"settings.tenants[].", {"name", "quotaPerS", "share"}},
+    };
+    std::set<std::string> fields;
+    for (const auto& [below, names] : kGroups) {
+      for (const char* name : names) fields.insert(std::string(below) + name);
+    }
+    return fields;
+  }();
+  return kFields;
+}
+
+// The names of the fields below `path`, which ends with a dot or is empty.
+std::vector<std::string> NamesBelow(const std::string& path) {
+  std::vector<std::string> names;
+  for (auto at = PlatformFields().lower_bound(path); at != PlatformFields().end() && at->starts_with(path);
+       ++at) {
+    if (at->find('.', path.size()) == std::string::npos) names.push_back(at->substr(path.size()));
+  }
+  return names;
+}
+
+// `path`: of the value, a list's items as [].
+void FindUnknown(const Json& json, const std::string& path, std::set<std::string>* unknown) {
+  if (json.is_array()) {
+    for (const Json& item : json) FindUnknown(item, path + "[]", unknown);
+    return;
+  }
+  if (!json.is_object()) return;
+  const std::string below = path.empty() ? "" : path + ".";
+  const std::vector<std::string> names = NamesBelow(below);
+  if (names.empty()) return;  // what is in it is not told here
+  for (const auto& [name, value] : json.items()) {
+    if (PlatformFields().contains(below + name)) {
+      FindUnknown(value, below + name, unknown);
+      continue;
+    }
+    const std::string near = NearName(name, names);
+    unknown->insert(below + name + (near.empty() ? "" : " (" + near + "?)"));
+  }
+}
+
 Json ReadJson(const std::string& path, const std::string& field) {
   std::ifstream file(path);
   if (!file) throw ConfigError(field + ": cannot read " + path);
@@ -189,7 +275,7 @@
 
 Endpoint ReadEndpoint(const std::string& text, const std::string& field) {
   const std::optional<Endpoint> endpoint = ParseEndpoint(text);
-  if (!endpoint) throw ConfigError(field + " must be address:port, not '" + text + "'");
+  if (!endpoint) throw BadValue(field, field + " must be address:port, not '" + text + "'");
   return *endpoint;
 }
 
@@ -204,9 +290,10 @@
     return told ? ReadToldField(variable, written, then, held) : written;
   };
   c.name = ReadTold("GW_NAME", c.written.name, was ? &was->name : nullptr, before ? before->name : "");
-  c.listen = ReadEndpoint(ReadTold("GW_LISTEN", c.written.listen, was ? &was->listen : nullptr,
-                                   before ? ToText(before->listen) : ""),
-                          "listen");
+  const std::string listen = ReadTold("GW_LISTEN", c.written.listen, was ? &was->listen : nullptr,
+                                      before ? ToText(before->listen) : "");
+  if (listen.empty()) root["listen"].Missing("address:port, here or in GW_LISTEN");
+  c.listen = ReadEndpoint(listen, "listen");
   const std::string discovery = ReadTold("GW_DISCOVERY", c.written.discovery, was ? &was->discovery : nullptr,
                                          before && before->discovery ? ToText(*before->discovery) : "");
   if (!discovery.empty()) c.discovery = ReadEndpoint(discovery, "discovery");
@@ -227,7 +314,7 @@
     }
   }
   const Field settings = root["settings"];
-  if (!settings.present()) settings.Bad("is missing");
+  if (!settings.present()) settings.Missing("the object of the platform's settings");
   c.module = ReadModule(settings);
   c.module_text = settings.json().dump();
   try {
@@ -237,7 +324,9 @@
   }
   c.dial_timeout = settings["limits"]["dialTimeout"].Whole(c.dial_timeout);
   if (c.dial_timeout <= 0) settings["limits"]["dialTimeout"].Bad("must be positive");
-
+  std::set<std::string> unknown;
+  FindUnknown(json, "", &unknown);
+  c.unknown.assign(unknown.begin(), unknown.end());
   return c;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config/operator_settings.h"
@@ -16,10 +17,37 @@
 
 namespace aldersill {
 
-// One line that names the field at fault.
+// what() is one line for the operator: it names the field at fault and, where that is known, what is
+// accepted.
 class ConfigError : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  explicit ConfigError(const std::string& sentence) : ConfigError("bad_configuration", "", sentence) {}
+  const char* code() const { return code_; }         // one word for the kind of error
+  const std::string& path() const { return path_; }  // of the field; empty where it is no field's
+
+ protected:
+  ConfigError(const char* code, std::string path, const std::string& sentence)
+      : std::runtime_error(sentence), code_(code), path_(std::move(path)) {}
+
+ private:
+  const char* code_;
+  std::string path_;
+};
+class MissingField : public ConfigError {
+ public:
+  MissingField(std::string path, const std::string& sentence)
+      : ConfigError("missing_field", std::move(path), sentence) {}
+};
+// In our own file alone: the platform may add fields to its own, which are told in a log line.
+class UnknownField : public ConfigError {
+ public:
+  UnknownField(std::string path, const std::string& sentence)
+      : ConfigError("unknown_field", std::move(path), sentence) {}
+};
+class BadValue : public ConfigError {
+ public:
+  BadValue(std::string path, const std::string& sentence)
+      : ConfigError("bad_value", std::move(path), sentence) {}
 };
 
 struct Config {
@@ -35,6 +63,9 @@
   std::string module_text;  // the settings as they were written, to tell whether they changed
   Micros dial_timeout = 250 * kMillisecond;
   OperatorSettings own;  // the operator's own file
+  // Fields of the platform's file that its pages do not name, each with the name that may be meant: they are
+  // not read, and must not stop the program.
+  std::vector<std::string> unknown;
   // What the file itself says of the fields that a variable may go before.
   struct Written {
     std::string name, listen, discovery;
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -5,35 +5,19 @@
 #include <algorithm>
 #include <fstream>
 #include <iterator>
-#include <numeric>
 #include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "config/config.h"
+#include "config/near_name.h"
 
 namespace aldersill {
 namespace {
 
 constexpr std::size_t kMostBytes = 1 << 20;
 
-// Levenshtein's distance, for "did you mean": the registry has no library for it.
-std::size_t EditDistance(const std::string& a, const std::string& b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  std::iota(row.begin(), row.end(), std::size_t{0});
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    std::size_t diagonal = row[0];
-    row[0] = i + 1;
-    for (std::size_t j = 0; j < b.size(); ++j) {
-      const std::size_t changed = diagonal + (a[i] == b[j] ? 0 : 1);
-      diagonal = row[j + 1];
-      row[j + 1] = std::min({changed, row[j] + 1, row[j + 1] + 1});
-    }
-  }
-  return row.back();
-}
-
 enum class Where { kLoopback, kAnywhere };
 
 template <typename T>
@@ -88,10 +72,10 @@
   v.Text("advertise", s.advertise);
   v.Check(s.advertise.empty() || ParseEndpoint(s.advertise).has_value(), "advertise",
           "must be address:port, not '" + s.advertise + "'");
-  v.Check(!s.advertise.empty() || s.listen.host != "0.0.0.0", "advertise",
-          "is missing: others cannot reach 0.0.0.0");
+  v.Require(!s.advertise.empty() || s.listen.host != "0.0.0.0", "advertise",
+            "is missing: others cannot reach 0.0.0.0");
   v.Text("key_file", s.key_file);
-  v.Check(!s.enabled || !s.key_file.empty(), "key_file", "is missing: membership needs a key");
+  v.Require(!s.enabled || !s.key_file.empty(), "key_file", "is missing: membership needs a key");
   v.Texts("join", c.join, 16);
   for (const std::string& address : c.join)
     v.Check(ParseEndpoint(address).has_value(), "join", "must hold address:port, not '" + address + "'");
@@ -229,17 +213,15 @@
   }
   template <typename T>
   void OneOf(const char* name, T& value, const std::vector<Word<T>>& words) {
-    std::string wanted;
-    for (const Word<T>& word : words) wanted += (wanted.empty() ? "" : ", ") + std::string(word.text);
-    Scalar(
-        name,
-        [&](const YAML::Node& node) {
-          const auto found = std::find_if(words.begin(), words.end(),
-                                          [&](const Word<T>& word) { return node.Scalar() == word.text; });
-          if (found != words.end()) value = found->value;
-          return found != words.end();
-        },
-        "must be one of " + wanted);
+    const YAML::Node node = Take(name);
+    if (!node) return;
+    const std::string given = node.IsScalar() ? node.Scalar() : "";
+    std::vector<std::string> wanted;
+    for (const Word<T>& word : words) {
+      if (given == word.text) return static_cast<void>(value = word.value);
+      wanted.push_back(word.text);
+    }
+    Bad(node, Below(name), "must be one of " + Listed(wanted) + MeantBy(given, wanted));
   }
   template <typename T>
   void Section(const char* name, T& settings) {
@@ -253,16 +235,19 @@
   void Check(bool holds, const char* name, const std::string& what) {
     if (!holds) Bad(std::as_const(map_)[name] ? std::as_const(map_)[name] : map_, Below(name), what);
   }
+  // A field that the others make needed.
+  void Require(bool holds, const char* name, const std::string& what) {
+    if (!holds) throw MissingField(Below(name), At(map_) + Below(name) + " " + what);
+  }
 
   // All that is known has been asked for by now.
   void Finish() {
     for (const auto& entry : map_) {
       const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
       if (known_.contains(key)) continue;
-      const auto nearest = std::min_element(known_.begin(), known_.end(), [&](const auto& a, const auto& b) {
-        return EditDistance(key, a) < EditDistance(key, b);
-      });
-      Bad(entry.first, Below(key), "is unknown: did you mean '" + *nearest + "'?");
+      const std::string meant = MeantBy(key, known_);
+      throw UnknownField(Below(key), At(entry.first) + Below(key) + " is unknown" +
+                                         (meant.empty() ? "." : meant) + " Accepted: " + Listed(known_));
     }
   }
 
@@ -275,8 +260,15 @@
   }
   std::string Below(const std::string& name) const { return path_.empty() ? name : path_ + "." + name; }
   [[noreturn]] void Bad(const YAML::Node& node, const std::string& path, const std::string& what) const {
-    throw ConfigError(file_ + ":" + std::to_string(std::max(0, node.Mark().line) + 1) + ": " +
-                      (path.empty() ? "the file" : path) + " " + what);
+    throw BadValue(path, At(node) + (path.empty() ? "the file" : path) + " " + what);
+  }
+  std::string At(const YAML::Node& node) const {
+    return file_ + ":" + std::to_string(std::max(0, node.Mark().line) + 1) + ": ";
+  }
+  template <typename Names>
+  static std::string MeantBy(const std::string& given, const Names& names) {
+    const std::string near = NearName(given, names);
+    return near.empty() ? "" : ": did you mean '" + near + "'?";
   }
   // The field's node; false as a condition where it is left out or null.
   YAML::Node Take(const char* name) {
@@ -339,6 +331,7 @@
     out_ << YAML::EndMap;
   }
   void Check(bool, const char*, const std::string&) {}
+  void Require(bool, const char*, const std::string&) {}
 
  private:
   template <typename T>
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -8,7 +8,8 @@
 
 namespace aldersill {
 
-// Throws ConfigError (config/config.h): one line, `FILE:LINE: PATH what is wrong with it`. At most 1 MiB.
+// Throws MissingField, UnknownField, BadValue or another ConfigError (config/config.h): one line, `FILE:LINE:
+// PATH what is wrong with it`. At most 1 MiB.
 OperatorSettings ReadOperatorFile(const std::string& path);
 OperatorSettings ParseOperatorText(const std::string& text, const std::string& name_in_errors);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -44,12 +44,21 @@
   return base;
 }
 
+// The platform may add fields; one of them may be a misspelt one that we would have read.
+void TellUnknown(const Config& c) {
+  if (c.unknown.empty()) return;
+  std::string fields;
+  for (const std::string& field : c.unknown) fields += (fields.empty() ? "" : ", ") + field;
+  Log(LogLevel::kWarning, "configuration_fields_unknown", {{"count", c.unknown.size()}, {"fields", fields}});
+}
+
 }  // namespace
 
 Daemon::Daemon(Config config) : base_(NewBase()), config_(std::move(config)), reducer_(ForCore(config_)) {
   // One clock for all: it reads as Unix time, as name tables tell starts in it, but never steps back.
   clock_offset_ = UnixNow() - SteadyNow();
   SetUpLog(config_.own.logging);
+  TellUnknown(config_);
   const Surroundings around{base_.get(), this, &reducer_, &offers_, [this] { return Now(); }};
   parts_ = MakeParts(around);
   for (const auto& part : parts_) part->Start(config_);
@@ -130,13 +139,18 @@
     for (const auto& part : parts_) part->Prepare(next);
   } catch (const std::exception& e) {
     for (const auto& part : parts_) part->Abandon();
-    Log(LogLevel::kError, "configuration_refused", {{"why", e.what()}});
+    const auto* error = dynamic_cast<const ConfigError*>(&e);
+    Log(LogLevel::kError, "configuration_refused",
+        {{"code", error != nullptr ? error->code() : "failed"},
+         {"field", error != nullptr ? error->path() : ""},
+         {"why", e.what()}});
     return;
   }
   CoreSettings core = ForCore(next);
   core.module_changed = next.module_text != config_.module_text;
   config_ = std::move(next);
   SetUpLog(config_.own.logging);
+  TellUnknown(config_);
   for (const auto& part : parts_) part->Adopt(config_);
   Tell(SettingsChanged{std::move(core)});
   for (const auto& part : parts_) part->Adopted(config_);
--- a/tests/daemon/lifecycle_test.cpp
+++ b/tests/daemon/lifecycle_test.cpp
@@ -33,7 +33,10 @@
       {"/limits/sockets", 10, "limits.sockets must be at least 64"},
       {"/known", {{"servers", 3}}, "known servers must be a list"},
       {"/settings/grades", nlohmann::json::array(), "settings.grades must name at least one class"},
-      {"/settings/grades/1/repeat", "often", "settings.grades[1].repeat must be one of"},
+      {"/settings/grades/1/repeat", "often",
+       "settings.grades[1].repeat must be one of retryable, dedup, fragile, not 'often'"},
+      {"/settings/report/how", "pul", "silent, piggyback, pull, not 'pul': did you mean 'pull'?"},
+      {"/settings/tenants/0/name", nullptr, "settings.tenants[0].name is missing: it must be a string"},
       {"/settings/grades/0/target", -5, "classes[0].target must be positive"},
       {"/settings/limits/dialTimeout", "soon", "settings.limits.dialTimeout must be a number"},
       {"/settings/tenants/0/share", true, "settings.tenants[0].share must be a number"},
@@ -118,6 +121,19 @@
   CHECK(daemon.Wait() == 0);
 }
 
+TEST_CASE("fields that the platform added are one log line, and the program serves") {
+  nlohmann::json config = Config();
+  config["settings"]["rules"]["fal"] = 3000000;
+  config["region"] = "sur";
+  DaemonUnderTest daemon(config, nlohmann::json::object());
+  CHECK(daemon.ports().contains("http"));
+  CHECK(daemon.log().find(
+            "configuration_fields_unknown count=2 fields=\"region, settings.rules.fal (fall?)\"\n") !=
+        std::string::npos);
+  daemon.Signal(SIGTERM);
+  CHECK(daemon.Wait() == 0);
+}
+
 TEST_CASE("on SIGHUP a bad file is one log line, and the one before holds") {
   nlohmann::json config = Config();
   DaemonUnderTest daemon(config, nlohmann::json::object());
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <stdlib.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <filesystem>
@@ -32,8 +33,14 @@
   } kBad[] = {
       {"faktory:\n  enabled: perhaps\n", "f:2: faktory.enabled must be true or false"},
       {"faktory:\n  enabled: true\n  listne: 127.0.0.1:1\n",
-       "f:3: faktory.listne is unknown: did you mean 'listen'?"},
-      {"\nloging: {}\n", "f:2: loging is unknown: did you mean 'logging'?"},
+       "f:3: faktory.listne is unknown: did you mean 'listen'? Accepted: enabled, fetch_patience_ms, "
+       "fetch_wait_ms, listen, worker_return_ms, worker_silence_ms"},
+      {"\nloging: {}\n",
+       "f:2: loging is unknown: did you mean 'logging'? Accepted: control, duties, faktory, logging, "
+       "membership, snmp"},
+      {"snmp:\n  qxzzy: 1\n", "f:2: snmp.qxzzy is unknown. Accepted: enabled, listen"},
+      {"logging:\n  level: warn\n",
+       "f:2: logging.level must be one of debug, info, warning, error: did you mean 'warning'?"},
       {"snmp:\n  listen: localhost\n", "f:2: snmp.listen must be address:port, not 'localhost'"},
       {"snmp:\n  listen: 10.0.0.1:5\n", "f:2: snmp.listen must be a loopback address"},
       {"snmp:\n  listen: [1]\n", "f:2: snmp.listen must be address:port"},
@@ -65,6 +72,55 @@
   CHECK(Complaint("a: \"\n").find('\n') == std::string::npos);
 }
 
+// The error's code and its field's path, of the platform's file with this value in place of its own.
+std::string PlatformError(const char* pointer, const nlohmann::json& value) {
+  nlohmann::json config = ReadJson(std::string(ALDERSILL_EXCHANGES) + "/config.json");
+  config[nlohmann::json::json_pointer(pointer)] = value;
+  std::string path = (std::filesystem::temp_directory_path() / "aldersill-XXXXXX").string();
+  const int file = mkstemp(path.data());
+  REQUIRE(file >= 0);
+  close(file);
+  std::ofstream(path) << config;
+  std::string error;
+  try {
+    for (const std::string& field : ReadPlatformFile(path).unknown) error += "unknown " + field + "\n";
+  } catch (const ConfigError& e) {
+    error = std::string(e.code()) + " " + e.path();
+    CHECK(std::string(e.what()).starts_with(e.path() + " "));
+  }
+  std::filesystem::remove(path);
+  return error;
+}
+
+TEST_CASE("each kind of error is of a type of its own, which names the field") {
+  CHECK_THROWS_AS(ParseOperatorText("membership: {enabled: true}", "f"), MissingField);
+  CHECK_THROWS_AS(ParseOperatorText("snmp: {prot: 1}", "f"), UnknownField);
+  CHECK_THROWS_AS(ParseOperatorText("logging: {format: xml}", "f"), BadValue);
+  CHECK(PlatformError("/settings", nullptr) == "missing_field settings");
+  CHECK(PlatformError("/settings/grades", nullptr) == "missing_field settings.grades");
+  CHECK(PlatformError("/settings/grades/1/name", nullptr) == "missing_field settings.grades[1].name");
+  CHECK(PlatformError("/listen", nullptr) == "missing_field listen");
+  CHECK(PlatformError("/settings/report/how", "pulls") == "bad_value settings.report.how");
+  CHECK(PlatformError("/settings/discovery", "pull") == "bad_value settings.discovery");
+  CHECK(PlatformError("/settings/valueBy", "time") == "bad_value settings.valueBy");
+  CHECK(PlatformError("/settings/weights", "heavy") == "bad_value settings.weights");
+}
+
+TEST_CASE("the platform may add fields and leave out others") {
+  CHECK(PlatformError("/settings/grades/1/worht", 3) == "unknown settings.grades[].worht (worth?)\n");
+  CHECK(PlatformError("/settings/novelty", {{"of", 1}}) == "unknown settings.novelty\n");
+  for (const char* field :
+       {"/discovery", "/seed", "/limits", "/known", "/settings/tenants", "/settings/report",
+        "/settings/rules", "/settings/limits", "/settings/familyInfo", "/settings/zones"}) {
+    CAPTURE(field);
+    CHECK(PlatformError(field, nullptr) == "");
+  }
+  CHECK(PlatformError("/settings/report/how", "pull") == "");
+  CHECK(PlatformError("/settings/limits/peers", true) == "");
+  CHECK(PlatformError("/peers", {{{"name", "n1"}}}) == "");
+  CHECK(PlatformError("/peer_listen", "127.0.0.1:1") == "");
+}
+
 TEST_CASE("what is left out stands with its default; JSON is YAML; what is printed reads back the same") {
   CHECK(Complaint("") == "");
   CHECK(Complaint("faktory:\nsnmp:\n") == "");
@@ -104,7 +160,8 @@
   CHECK(output == good + ": good, as the operator's settings\n" + platform +
                       ": good, as the platform's configuration\n");
   CHECK(RunProgram("check-config " + good + " " + bad, &output) == 1);
-  CHECK(output.find(bad + ":1: faktory.enabld is unknown: did you mean 'enabled'?\n") != std::string::npos);
+  CHECK(output.find(bad + ":1: faktory.enabld is unknown: did you mean 'enabled'? Accepted: ") !=
+        std::string::npos);
   CHECK(RunProgram("check-config " + (folder / "none.yaml").string(), &output) == 1);
   CHECK(output.ends_with("none.yaml:1: the file cannot be read\n"));
   setenv("ALDERSILL_SETTINGS", good.c_str(), 1);
