Play discovery's failures for 3 and 300 dispatchers; call a moved one as at a start

Seen in the model (discovery that begins 43 watches a second and works on refused calls): 300 dispatchers that had moved and repeated within 1 s kept it full with dead calls, and 200 of 300 never had a list; so did a silent watch's repeats each 2.5 s, beside the lost call.

At fault: PlatformPart's kMovedWithin bounded the repeats as well as the first call; DiscoveryClock::Failed left the next call to the patience of a call that was overdue already.

Change: a moved discovery is called as at a start (few dispatchers call at once all the same); a refused repeat of a silent watch is paced as any. Ruled out: a random part of 1.5 s before a silent watch is opened anew; it costs 1.4 s of age where few are silent and lets 13 of 100 more go on where all are.

--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -23,15 +23,19 @@
   return s;
 }
 
-// A discovery that has moved is asked within this. What it has to tell counts as told 4 s after SIGHUP where
-// an agent has it.
-constexpr Micros kMovedWithin = kSecond;
+// What an agent has counts as told at once, and after SIGHUP 4 s later. Where discovery is asked, a
+// dispatcher without a watch is held to the list it has for as long as it may go without asking, from its
+// last call.
 constexpr Micros kMovedHold = 4 * kSecond;
+Micros Hold(const Config& c, bool moved) {
+  if (!c.module.subscribe) return moved ? kMovedHold : c.module.drain_grace;
+  return c.module.must_ask_in - (moved ? DiscoveryClock::kWait : 0);
+}
 
-DiscoveryClock Clock(const Config& c, Micros longest) {
+DiscoveryClock Clock(const Config& c) {
   using Kind = DiscoveryClock::Kind;
   return {{c.module.subscribe ? Kind::kAsked : Kind::kPushed, c.module.must_ask_in, c.module.drain_grace},
-          CallPacing(c.module.nodes, longest, c.seed)};
+          CallPacing(c.module.nodes, c.module.must_ask_in / 2, c.seed)};
 }
 
 class PlatformPart : public Part, public ExecutionRunner, public ClientDoor {
@@ -42,9 +46,8 @@
     instances_ =
         std::make_unique<InstanceLink>(around_.base, c.dial_timeout, Shares(c).instances, around_.sink);
     if (c.discovery)
-      discovery_ = std::make_unique<Discovery>(
-          around_.base, *c.discovery, c.known_version, Clock(c, c.module.must_ask_in / 2),
-          c.module.subscribe ? c.module.must_ask_in : c.module.drain_grace, around_.sink);
+      discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, c.known_version, Clock(c),
+                                               Hold(c, false), around_.sink);
     // Where lists are pushed the module does not ask, and what the agent has counts as told from the start.
     if (discovery_ != nullptr && !c.module.subscribe) discovery_->Watch();
     clients_ = std::make_unique<ClientFront>(around_.base, c.listen, ForClients(c), around_.sink);
@@ -90,10 +93,8 @@
       return around_.sink->Tell(NameTableGood{NameTableGood::kForEver});
     }
     // Its versions are its own: the whole list first, and until then the workers that are known serve on.
-    discovery_ = std::make_unique<Discovery>(
-        around_.base, *c.discovery, std::nullopt, Clock(c, kMovedWithin),
-        c.module.subscribe ? c.module.must_ask_in - DiscoveryClock::kWait : kMovedHold, around_.sink,
-        std::move(discovery_));
+    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt, Clock(c),
+                                             Hold(c, true), around_.sink, std::move(discovery_));
     discovery_->Watch();
   }
 
--- a/src/http/call_pacing.h
+++ b/src/http/call_pacing.h
@@ -30,7 +30,7 @@
     return Draw(back_off_ / 4, back_off_);
   }
   void Succeeded() { back_off_ = 0; }
-  // Of a dispatcher whose time is short: the later half of `bound`.
+  // Where calls cost nothing: the later half of `bound`.
   Micros Within(Micros bound) { return Draw(bound / 2, bound); }
 
  private:
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -155,7 +155,7 @@
        {"wait_ms", line->called_wait / kMillisecond},
        {"took_ms", (SteadyNow() - line->called_at) / kMillisecond}});
   const bool others_out = AnyOut();
-  clock_.Failed(SteadyNow(), others_out);
+  clock_.Failed(SteadyNow(), line->called_at, others_out);
   Schedule();
   if (others_out) return;
   continuing_ = false;
--- a/src/http/discovery_clock.h
+++ b/src/http/discovery_clock.h
@@ -58,11 +58,11 @@
     next_call_ = now;
     pacing_.Succeeded();
   }
-  // A call has ended without the list. `others_out`: whether one that may still bring it is left.
-  void Failed(Micros now, bool others_out) {
+  // The call made at `called_at` has ended without the list. `others_out`: whether any that may still bring
+  // it is left. Those older than it are overdue: the next is not put off for them.
+  void Failed(Micros now, Micros called_at, bool others_out) {
     out_ = others_out;
-    if (others_out) return;
-    next_call_ = now + BeforeRepeat(now);
+    if (!others_out || called_at == called_at_) next_call_ = now + BeforeRepeat();
   }
 
   // From then on something may count as told that has not arrived.
@@ -90,14 +90,11 @@
  private:
   bool pushed() const { return rules_.kind == Kind::kPushed; }
 
-  Micros BeforeRepeat(Micros now) {
+  Micros BeforeRepeat() {
     if (pushed()) return pacing_.Within(kPushedPatience);
-    // A watch that ended with an error ended for all dispatchers: discovery is down, and all will call.
-    if (silent_since_ == kNever) return called_wait_ > 0 ? pacing_.BeforeFirst() : pacing_.AfterFailure();
-    // One that fell silent did so here alone, and its time is short. Once that is over nothing is sent.
-    const Micros left = good_until() - now;
-    const Micros paced = pacing_.AfterFailure();
-    return left > 0 ? std::min(paced, pacing_.Within(std::max<Micros>(left / 4, kPatience))) : paced;
+    // A watch that ended with an error ended for all dispatchers: discovery is down, and all will call. One
+    // that fell silent did so here alone and was opened anew at once; if that was refused, many call.
+    return called_wait_ > 0 && silent_since_ == kNever ? pacing_.BeforeFirst() : pacing_.AfterFailure();
   }
 
   const Rules rules_;
