Warn of an overdue call to discovery once, not for each that follows it

Seen with a stand-in agent that was silent for 2 s: 17 warnings, one each 0.12 s, that tell nothing new. Discovery::Call now logs those after the first at level debug. Ruled out: the log's own rate limit, which would drop other lines as well.

--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -69,11 +69,14 @@
   for (Line& other : lines_) {
     if (line->out != nullptr && (other.out == nullptr || other.called_at < line->called_at)) line = &other;
   }
-  if (AnyOut()) {
+  const auto out =
+      std::count_if(lines_.begin(), lines_.end(), [](const Line& l) { return l.out != nullptr; });
+  if (out > 0) {
     const Line& slow = *std::max_element(lines_.begin(), lines_.end(), [](const Line& a, const Line& b) {
       return (a.out != nullptr ? a.called_at : 0) < (b.out != nullptr ? b.called_at : 0);
     });
-    Log(LogLevel::kWarning, "discovery_overdue",
+    // Those that follow tell nothing new: an agent that is silent is called eight times a second.
+    Log(out == 1 ? LogLevel::kWarning : LogLevel::kDebug, "discovery_overdue",
         {{"wait_ms", slow.called_wait / kMillisecond}, {"took_ms", (now - slow.called_at) / kMillisecond}});
   }
   Cancel(line);
