Do not take an overdue watch that discovery refuses for one that fell silent

At fault: DiscoveryClock::Called set silent_since_ and only a list cleared it. A call that is answered, if with a refusal, was late and not lost, and the rule for a dispatcher without a watch holds. One whose connection broke while overdue still counts as silent. The new test case fails without the change.

--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -118,7 +118,8 @@
   if (request == nullptr || evhttp_request_get_response_code(request) == 0)
     return Fail(line, "connection broke");
   if (evhttp_request_get_response_code(request) != 200)
-    return Fail(line, ("answered " + std::to_string(evhttp_request_get_response_code(request))).c_str());
+    return Fail(line, ("answered " + std::to_string(evhttp_request_get_response_code(request))).c_str(),
+                true);
   evbuffer* body = evhttp_request_get_input_buffer(request);
   const std::size_t size = evbuffer_get_length(body);
   const char* text = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
@@ -152,13 +153,13 @@
   Schedule();
 }
 
-void Discovery::Fail(Line* line, const char* why) {
+void Discovery::Fail(Line* line, const char* why, bool refused) {
   Log(left_ ? LogLevel::kDebug : LogLevel::kWarning, left_ ? "discovery_left" : "discovery_failed",
       {{"why", why},
        {"wait_ms", line->called_wait / kMillisecond},
        {"took_ms", (SteadyNow() - line->called_at) / kMillisecond}});
   const bool others_out = AnyOut();
-  clock_.Failed(SteadyNow(), line->called_at, others_out);
+  clock_.Failed(SteadyNow(), line->called_at, refused, others_out);
   Schedule();
   if (others_out) return;
   continuing_ = false;
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -42,7 +42,7 @@
   void Leave();
   void Call();
   void Answered(Line* line, evhttp_request* request);
-  void Fail(Line* line, const char* why);
+  void Fail(Line* line, const char* why, bool refused = false);
   void Cancel(Line* line);
   void Schedule();
   bool AnyOut() const;
--- a/src/http/discovery_clock.h
+++ b/src/http/discovery_clock.h
@@ -41,7 +41,10 @@
 
   void Called(Micros now) {
     // Silent at the earliest since the call before this one was made.
-    if (out_) silent_since_ = std::min(silent_since_, called_at_);
+    if (out_) {
+      silent_since_ = std::min(silent_since_, called_at_);
+      ++overdue_;
+    }
     called_wait_ = next_wait();
     called_at_ = now;
     called_ = out_ = true;
@@ -55,12 +58,15 @@
     out_ = false;
     answered_ = continues_ = true;
     silent_since_ = kNever;
+    overdue_ = 0;
     next_call_ = now;
     pacing_.Succeeded();
   }
   // The call made at `called_at` has ended without the list. `others_out`: whether any that may still bring
   // it is left. Those older than it are overdue: the next is not put off for them.
-  void Failed(Micros now, Micros called_at, bool others_out) {
+  // `refused`: discovery answered, if not with the list, so this call was late and not lost.
+  void Failed(Micros now, Micros called_at, bool refused, bool others_out) {
+    if (refused && called_at != called_at_ && --overdue_ == 0) silent_since_ = kNever;
     out_ = others_out;
     if (!others_out || called_at == called_at_) next_call_ = now + BeforeRepeat();
   }
@@ -103,6 +109,7 @@
   Micros next_call_ = 0;
   Micros called_at_ = 0, called_wait_ = 0;  // of the last call
   Micros silent_since_ = kNever;
+  int overdue_ = 0;         // calls found overdue that have not ended with an answer since
   bool called_ = false;     // at least once
   bool answered_ = false;   // at least once
   bool out_ = false;        // a call is out
--- a/tests/daemon/discovery_clock_test.cpp
+++ b/tests/daemon/discovery_clock_test.cpp
@@ -101,7 +101,7 @@
       one.told = s.at + kMustAskIn;
       Take(s.at, s.who, wait, &one);
     } else if (s.what == Step::kFails) {
-      one.clock.Failed(s.at, called_at, !one.out.empty());
+      one.clock.Failed(s.at, called_at, true, !one.out.empty());
       if (called_at == one.called_at) one.told += 3 * kMustAskIn;  // four times where the call failed
     } else {
       if (std::exchange(one.waits, one.waits && s.at < path_.from)) {
@@ -215,5 +215,19 @@
   }
 }
 
+TEST_CASE("an overdue watch counts as silent until discovery refuses it, not where its connection breaks") {
+  for (const bool refused : {true, false}) {
+    DiscoveryClock clock({}, CallPacing(3, kMustAskIn / 2, 1));
+    clock.Begin(0, kMustAskIn);
+    clock.Called(0);
+    clock.Answered(0);
+    clock.Called(0);
+    const Micros again = clock.next_call();
+    clock.Called(again);
+    clock.Failed(again + kTravel, 0, refused, true);
+    CHECK(clock.good_until() == (refused ? again + kMustAskIn : DiscoveryClock::kToldWithin));
+  }
+}
+
 }  // namespace
 }  // namespace aldersill
