--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -23,10 +23,20 @@
   return s;
 }
 
-// What a discovery that has moved has to tell counts as told 4 s after SIGHUP.
-constexpr Micros kMovedWithin = kSecond;
+// What an agent has counts as told at once, and after SIGHUP 4 s later. Where discovery is asked, a
+// dispatcher without a watch is held to the list it has for as long as it may go without asking, from its
+// last call.
+constexpr Micros kMovedHold = 4 * kSecond;
+Micros Hold(const Config& c, bool moved) {
+  if (!c.module.subscribe) return moved ? kMovedHold : c.module.drain_grace;
+  return c.module.must_ask_in - (moved ? DiscoveryClock::kWait : 0);
+}
 
-CallPacing Pacing(const Config& c, Micros longest) { return {c.module.nodes, longest, c.seed}; }
+DiscoveryClock Clock(const Config& c) {
+  using Kind = DiscoveryClock::Kind;
+  return {{c.module.subscribe ? Kind::kAsked : Kind::kPushed, c.module.must_ask_in, c.module.drain_grace},
+          CallPacing(c.module.nodes, c.module.must_ask_in / 2, c.seed)};
+}
 
 class PlatformPart : public Part, public ExecutionRunner, public ClientDoor {
  public:
@@ -36,21 +46,23 @@
     instances_ =
         std::make_unique<InstanceLink>(around_.base, c.dial_timeout, Shares(c).instances, around_.sink);
     if (c.discovery)
-      discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, c.known_version,
-                                               Pacing(c, c.module.must_ask_in / 2), around_.sink);
+      discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, c.known_version, Clock(c),
+                                               Hold(c, false), around_.sink);
+    // Where lists are pushed the module does not ask, and what the agent has counts as told from the start.
+    if (discovery_ != nullptr && !c.module.subscribe) discovery_->Watch();
     clients_ = std::make_unique<ClientFront>(around_.base, c.listen, ForClients(c), around_.sink);
     listen_ = c.listen;
     discovered_at_ = c.discovery;
     Offers& offers = *around_.offers;
     offers.runners[static_cast<std::size_t>(Instance::Source::kDiscovery)] = this;
     offers.doors[static_cast<std::size_t>(ClientRef::Front::kHttp)] = this;
+    offers.watch_name_table = [this] {
+      if (discovery_ != nullptr) discovery_->Watch();
+    };
     offers.probe = [this](const ProbeInstance& probe) { instances_->Probe(probe); };
     offers.probe_for = [this](const ProbeInstance& probe, std::function<void(ProbeAnswered)> done) {
       instances_->Probe(probe, std::move(done));
     };
-    offers.watch_name_table = [this] {
-      if (discovery_ != nullptr) discovery_->Watch();
-    };
   }
 
   void Announce() override {
@@ -76,10 +88,13 @@
     discovered_at_ = c.discovery;
     Log(LogLevel::kInfo, "discovery_moved",
         {{"address", c.discovery ? ToText(*c.discovery) : std::string("none")}});
-    if (!c.discovery) return discovery_.reset();
+    if (!c.discovery) {
+      discovery_.reset();
+      return around_.sink->Tell(NameTableGood{NameTableGood::kForEver});
+    }
     // Its versions are its own: the whole list first, and until then the workers that are known serve on.
-    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt,
-                                             Pacing(c, kMovedWithin), around_.sink, std::move(discovery_));
+    discovery_ = std::make_unique<Discovery>(around_.base, *c.discovery, std::nullopt, Clock(c),
+                                             Hold(c, true), around_.sink, std::move(discovery_));
     discovery_->Watch();
   }
 
