--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -34,18 +34,19 @@
 // tenth, one that holds eight a hundredth. One node of a hundred has a tenant's token every ten seconds.
 constexpr double kBankJobs = 8.0;
 constexpr int kSampled = 2;  // workers looked at per pool: the load of a choice does not grow with the fleet
-constexpr double kCopyShare = 0.2;  // second copies per request, at most
 // Runs lost where a key's data is not at hand: the job's own, those behind it, and those whose data goes.
 constexpr double kFetch = 1.5;
 constexpr double kPatience = 1.5;  // times what a late job takes: nothing heard for longer is a silence
 constexpr Micros kAnswerWithin = 300'000;  // a probe's answer that takes longer is none
-constexpr double kShort = 1.2;   // of a mean job: up to this long it may go to a cold worker
-constexpr double kVaries = 1.3;  // mean square over squared mean of the running times of one class
+constexpr double kShort = 1.2;             // of a mean job: up to this long it may go to a cold worker
+constexpr double kVaries = 1.3;            // mean square over squared mean of the running times of one class
 constexpr double kScarce = 0.3;  // worth lost by others per running time of waiting added to a worker
 constexpr double kTie = 0.01;    // costs this close are equal: the least of them would never be tried again
+// How old a load report is when it comes: refreshed now and then and told late, by no setting's word.
+constexpr Micros kReportLag = 700'000;
 constexpr int kNone = -1;
 
-enum TimerKind : std::uint64_t { kTokenTimer, kDeadlineTimer, kCopyTimer, kListTimer, kSilenceTimer };
+enum TimerKind : std::uint64_t { kTokenTimer, kDeadlineTimer, kListTimer, kSilenceTimer };
 constexpr int kTimerShift = 56;
 
 }  // namespace
@@ -230,7 +231,6 @@
     r.key = a.key;
     if (r.key) keys_.Note(*r.key);
     SetTimerIn(a.time_left, kDeadlineTimer, r.id);
-    copies_ = std::min(copies_ + kCopyShare, 1.0 / kCopyShare);
     ProbeNext();
     Admit(&r);
   }
@@ -244,9 +244,6 @@
     r->attempts.push_back(Attempt{index, now_});
     out_->push_back(Send{r->id, w.name, 0});
     SetTimerIn(static_cast<Micros>(Patience(*r)), kSilenceTimer, r->id);
-    if (!s_.second_copies || Class(*r).repeat == Repeat::kUnsafe) return;
-    const double wait = 2.0 * fleet_.zone_of(w).start_delay + Class(*r).target / 4.0;
-    SetTimerIn(static_cast<Micros>(wait), kCopyTimer, r->id);
   }
 
   // How long the answer to a job may take before its worker's silence tells something.
@@ -281,7 +278,7 @@
       const ClassSettings& c = Class(*r);
       const bool harmless =
           c.repeat == Repeat::kRepeatable || (c.repeat == Repeat::kKeyed && waited < c.window);
-      const bool again = harmless && s_.cancel && !s_.second_copies && r->deadline - now_ > patience / 2 &&
+      const bool again = harmless && s_.cancel && r->deadline - now_ > patience / 2 &&
                          std::ssize(r->attempts) < s_.max_attempts && tenants_[r->tenant].tokens >= r->tokens;
       if (!again || std::exchange(a.called_off, true)) continue;
       out_->push_back(Cancel{r->id, static_cast<int>(i)});
@@ -402,12 +399,7 @@
     Request* r = requests_.Find(RequestId{e.token & ((1ULL << kTimerShift) - 1)});
     if (r == nullptr) return;
     if (kind == kSilenceTimer) return LookForSilence(r);
-    if (kind == kDeadlineTimer && !r->streaming && now_ >= r->deadline) return Finish(r);
-    // Exception: a job not started soon after its send waits behind another of unknown length. Where a repeat
-    // is harmless a second copy goes elsewhere, if paid and few; the first to start calls off the other.
-    if (kind != kCopyTimer || !r->HasOpen() || r->HasStarted() || copies_ < 1.0 || !PayFromBank(*r)) return;
-    copies_ -= 1.0;
-    Dispatch(r);
+    if (kind == kDeadlineTimer && !r->streaming && now_ >= r->deadline) Finish(r);
   }
 
   // ---- Workers ----
@@ -547,7 +539,8 @@
     const std::optional<double> free = FreeSlotsIn(report, kind.slots);
     if (!free) return;
     kind.queue = std::max(kind.queue, -*free);
-    w->NoteFree(*free, now_);
+    // Of a time that is over: what it told of jobs that end sooner than it comes says nothing any more.
+    w->NoteFree(*free, now_ - kReportLag);
     // Looked at in every choice: a sample of many workers would hit few with a fresh report.
     fleet_.NoteHeard(index, 4 * kSampled);
     fleet_.free_share(*w) += kLearn * (w->reported_free / kind.slots - fleet_.free_share(*w));
@@ -669,14 +662,13 @@
   bool begun_ = false;
   // Throttle.
   std::vector<Tenant> tenants_;
-  double quota_ = 0.0;    // this node's part, requests a second
-  double rate_ = 1.0;     // R, slots a second
-  double shallow_ = 0.0;  // share of 'full' among the recent signs of overload
+  double quota_ = 0.0;     // this node's part, requests a second
+  double rate_ = 1.0;      // R, slots a second
+  double shallow_ = 0.0;   // share of 'full' among the recent signs of overload
   bool accepted_ = false;  // a worker has taken an attempt
-  double strain_ = 0.0;   // recent share of attempts that met a sign of overload
+  double strain_ = 0.0;    // recent share of attempts that met a sign of overload
   double mean_tokens_ = 1.0, mean_price_ = 1.0, mean_job_ = 1.0;  // of a job; the last in slot-microseconds
-  double copies_ = 0.0;
-  double arriving_ = 0.0;  // tokens a second, as of arrived_at_
+  double arriving_ = 0.0;                                         // tokens a second, as of arrived_at_
   Micros arrived_at_ = 0;
   Micros next_token_ = std::numeric_limits<Micros>::max();
   Micros shortest_target_ = std::numeric_limits<Micros>::max();
