Tell a broken request's story in the rig, share probing and play stray datagrams

Need: a broken rule named its request only, and what had led to it was not to be seen. Of the cases of tests/daemon/cluster_test.cpp the rig had neither shared probing nor datagrams of others.

Change: each of the first three broken requests is printed with all that was seen of it. Tables with members share the probing of workers, and the run ends only once each is one dispatcher's to probe; `udp_stray` sends random bytes. What an agent has counts as told from a dispatcher's start on.

--- a/tests/fleet/checker.cpp
+++ b/tests/fleet/checker.cpp
@@ -91,6 +91,13 @@
 
 }  // namespace
 
+const char* Name(What what) {
+  constexpr const char* kNames[] = {"asked",       "answered", "broken", "left",   "attempt",
+                                    "attempt end", "ran",      "result", "killed", "started",
+                                    "resumed",     "changed",  "told",   "holds",  "end"};
+  return kNames[static_cast<std::size_t>(what)];
+}
+
 Judgement Judge(const std::vector<Seen>& seen, const Rules& rules) {
   Judgement j;
   std::map<std::string, Story> stories;
--- a/tests/fleet/checker.h
+++ b/tests/fleet/checker.h
@@ -41,6 +41,8 @@
   std::int64_t until = 0;  // by the same clock
 };
 
+const char* Name(Seen::What what);
+
 struct Rules {
   std::set<std::string> once;    // classes that must never run twice
   int most_attempts = 5;         // of one request
--- a/tests/fleet/datagrams.cpp
+++ b/tests/fleet/datagrams.cpp
@@ -64,6 +64,13 @@
   SendDue();
 }
 
+void DatagramLinks::Stray(int from, int to) {
+  std::string bytes(random_(1'500), '\0');
+  for (char& byte : bytes) byte = static_cast<char>(random_());
+  waiting_.insert({SteadyNow(), {from, to, std::move(bytes)}});
+  SendDue();
+}
+
 void DatagramLinks::SendDue() {
   const Micros now = SteadyNow();
   while (!waiting_.empty() && waiting_.begin()->first <= now) {
--- a/tests/fleet/datagrams.h
+++ b/tests/fleet/datagrams.h
@@ -30,6 +30,8 @@
   std::uint16_t port(int dispatcher) const { return places_[dispatcher]->port; }  // where it is reached
   void SetReal(int dispatcher, std::uint16_t port) { places_[dispatcher]->real = port; }
   Trouble& trouble(int from, int to) { return troubles_[{from, to}]; }
+  // Sends one of random bytes and length, as if from `from`.
+  void Stray(int from, int to);
   int carried() const { return carried_; }
   int dropped() const { return dropped_; }
 
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -85,6 +85,7 @@
     std::unique_ptr<Question> duties, members;  // asked, and not yet answered
     bool knows_all = false;                     // by its last answer
     bool holds = false;
+    int owned = 0, probed = 0;  // workers that it probes, that all of them probe
     State state = State::kDown;
   };
   struct Worker {
@@ -158,7 +159,7 @@
       evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
       return evhttp_send_reply(request, 200, "OK", body.get());
     }
-    See(What::kRan, id, klass);
+    See(What::kRan, id, klass).worker = worker;
     const std::string result =
         std::string(id) + " at " + std::to_string(worker) + " run " + std::to_string(++runs_);
     // One in ten fails, so that there is something to try again without any fault.
@@ -260,6 +261,15 @@
         });
   }
 
+  // What an agent has counts as told from the start of a dispatcher on, as soon as the agent speaks.
+  void NoteAgents(int d) {
+    if (!deployment_.pushed || down_ > 0) return;
+    for (int w = 0; w < table_.workers; ++w) {
+      const bool serving = discoveries_[d].back()->list().at(w).at("state") == "SERVING";
+      See(What::kTold, "", "", d, 0, serving ? 1 : 0).worker = w;
+    }
+  }
+
   // A change of the list for all dispatchers; while discovery is down, once it is back.
   void Change(int worker, const std::string& state) {
     if (down_ > 0) return changes_.push_back({worker, state});
@@ -274,6 +284,7 @@
     down_ += down ? 1 : -1;
     if (down_ > 1 || (down && down_ == 0)) return;
     for (auto& of_dispatcher : discoveries_) of_dispatcher.back()->Down(down_ > 0);
+    for (int d = 0; d < table_.dispatchers; ++d) NoteAgents(d);
     while (down_ == 0 && !changes_.empty()) {
       const auto [worker, state] = changes_.front();
       changes_.pop_front();
@@ -312,7 +323,12 @@
               {"probe_timeout_ms", 100},
               {"gossip_interval_ms", 40},
               {"compare_interval_ms", 500}}},
-            {"duties", {{"exclusive", {"housekeeping"}}, {"voters", voters}, {"lease_ms", 1'500}}}};
+            {"duties",
+             {{"probing", true},
+              {"probes", {{"interval_ms", 500}, {"timeout_ms", 250}}},
+              {"exclusive", {"housekeeping"}},
+              {"voters", voters},
+              {"lease_ms", 1'500}}}};
   }
 
   // Each that runs is asked what it holds and whom it knows, one question of each kind at a time.
@@ -336,7 +352,10 @@
     const auto done = std::move(daemons_[d].duties);
     daemons_[d].holds = false;
     if (answer.empty()) return;
-    const nlohmann::json lease = nlohmann::json::parse(answer).at("exclusive").at(0);
+    const nlohmann::json duties = nlohmann::json::parse(answer);
+    daemons_[d].owned = duties.at("probing").at("owned");
+    daemons_[d].probed = duties.at("probing").at("workers");
+    const nlohmann::json& lease = duties.at("exclusive").at(0);
     daemons_[d].holds = lease.at("held");
     if (daemons_[d].holds) See(What::kHolds, "", "", d, lease.at("term")).until = asked;
   }
@@ -352,7 +371,10 @@
   }
 
   bool Agreed() const {
-    return std::ranges::all_of(daemons_, [](const Daemon& d) { return d.knows_all; }) &&
+    int owned = 0;
+    for (const Daemon& d : daemons_) owned += d.owned;
+    return std::ranges::all_of(daemons_,
+                               [owned](const Daemon& d) { return d.knows_all && d.probed == owned; }) &&
            std::ranges::any_of(daemons_, [](const Daemon& d) { return d.holds; });
   }
 
@@ -372,12 +394,14 @@
     daemon.duties.reset();
     daemon.members.reset();
     daemon.knows_all = daemon.holds = false;
+    daemon.owned = 0;
     daemon.process = std::make_unique<tests::DaemonUnderTest>(daemon.config, daemon.own, "ALDERSILL_SETTINGS",
                                                               " serving ", program_);
     if (!daemon.process->ports().contains("http")) throw std::runtime_error("a dispatcher did not start");
     if (table_.members) datagrams_->SetReal(d, daemon.process->ports().at("membership"));
     daemon.state = State::kUp;
     See(What::kStarted, "", "", d);
+    NoteAgents(d);
   }
 
   void Do(const Fault& f) {
@@ -483,6 +507,13 @@
       case FaultKind::kUdpReorder:
         on_datagrams([&](auto* t) { t->jitter = f.amount * kMillisecond; }, [](auto* t) { t->jitter = 0; });
         break;
+      case FaultKind::kUdpStray:
+        for (int i = 0; i < f.amount; ++i)
+          At(i * f.for_ms / f.amount, [this, f, i] {
+            if (datagrams_ != nullptr)
+              datagrams_->Stray(f.dispatcher, f.worker >= 0 ? f.worker : i % table_.dispatchers);
+          });
+        break;
       case FaultKind::kUdpDouble:
         on_datagrams([&](auto* t) { t->doubled_percent = f.amount; },
                      [](auto* t) { t->doubled_percent = 0; });
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -15,7 +15,8 @@
 struct Run {
   std::vector<Seen> seen;
   int carried_out = 0;  // faults
-  bool agreed = true;   // where they know one another: in the end all did, and somebody held the duty
+  bool agreed = true;   // where they know one another: in the end all did, one held the duty, each worker was
+                        // one's to probe
   int datagrams = 0;
   int bad_ends = 0;  // dispatchers that ended by themselves other than with 0 after SIGTERM
   double seconds = 0.0;
--- a/tests/fleet/main.cpp
+++ b/tests/fleet/main.cpp
@@ -1,6 +1,7 @@
 // Plays seeds, or one timetable from a file, and judges them. A failing one prints itself and is cut down by
 // leaving faults out one after another, as long as it still fails.
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -15,6 +16,19 @@
 
 using namespace aldersill::fleet;
 
+constexpr std::size_t kMostLines = 20, kMostStories = 3;
+
+// All that was seen of the request that the line ends with.
+void TellStory(const std::vector<Seen>& seen, const std::string& line) {
+  const std::string id = line.substr(line.rfind(' ') + 1);
+  for (const Seen& s : seen) {
+    if (s.request == id)
+      std::printf("    %8.1f ms %-11s d%d w%d attempt %llu %d %s\n",
+                  static_cast<double>(s.at - seen.front().at) / 1'000.0, Name(s.what), s.dispatcher, s.worker,
+                  static_cast<unsigned long long>(s.attempt), s.status, s.text.c_str());
+  }
+}
+
 std::vector<std::string> Broken(const Timetable& table, const std::string& program, bool tell) {
   const Deployment deployment = ReadDeployment(table.deployment);
   const Run run = Play(table, deployment, program);
@@ -22,7 +36,8 @@
   if (run.bad_ends > 0) j.broken.push_back("a dispatcher ended by itself, or after SIGTERM not with 0");
   if (!run.agreed)
     j.broken.push_back(
-        "with all faults over, dispatchers did not come to know one another and one to hold the duty");
+        "with all faults over, dispatchers did not come to know one another, one to hold the duty, and each "
+        "worker to be probed by one");
   // A run in which nothing happened would pass anything.
   if (j.asked < table.requests / 2 || j.served == 0)
     j.broken.push_back("too few jobs were asked for or served");
@@ -34,6 +49,11 @@
         static_cast<unsigned long long>(table.seed), table.deployment.c_str(), j.asked, j.served, j.refused,
         j.failed, j.left, j.excused, j.attempts, j.ran, run.carried_out, run.datagrams, j.terms, run.seconds,
         j.broken.empty() ? "" : ": BROKEN");
+  for (std::size_t k = 0; tell && k < std::min(j.broken.size(), kMostLines); ++k) {
+    std::printf("  %s\n", j.broken[k].c_str());
+    if (k < kMostStories) TellStory(run.seen, j.broken[k]);
+  }
+  if (tell && j.broken.size() > kMostLines) std::printf("  and %zu more\n", j.broken.size() - kMostLines);
   std::fflush(stdout);
   return j.broken;
 }
@@ -79,7 +99,6 @@
       }
       const std::vector<std::string> broken = Broken(table, program, true);
       if (broken.empty()) continue;
-      for (const std::string& line : broken) std::cout << "  " << line << "\n";
       if (planted) return 0;
       std::cout << "as a timetable, to be played with --timetable:\n"
                 << ToYaml(cut_down ? CutDown(table, program) : table);
--- a/tests/fleet/timetable.cpp
+++ b/tests/fleet/timetable.cpp
@@ -11,10 +11,10 @@
 namespace aldersill::fleet {
 namespace {
 
-constexpr std::array<const char*, 18> kKinds = {
-    "kill",    "terminate", "pause",    "cut_there", "cut_back",    "delay",
-    "trickle", "reset",     "hang",     "drain",     "silence",     "move",
-    "down",    "udp_cut",   "udp_thin", "udp_delay", "udp_reorder", "udp_double"};
+constexpr std::array<const char*, 19> kKinds = {
+    "kill",     "terminate", "pause",       "cut_there",  "cut_back", "delay", "trickle",
+    "reset",    "hang",      "drain",       "silence",    "move",     "down",  "udp_cut",
+    "udp_thin", "udp_delay", "udp_reorder", "udp_double", "udp_stray"};
 constexpr int kLongerThanLease = 2'500;
 
 bool OfDatagrams(FaultKind kind) { return kind >= FaultKind::kUdpCut; }
@@ -75,7 +75,7 @@
   if (table.members) {
     for (int i = Between(&random, 3, 8); i > 0; --i) {
       const auto kind = static_cast<FaultKind>(
-          Between(&random, static_cast<int>(FaultKind::kUdpCut), static_cast<int>(FaultKind::kUdpDouble)));
+          Between(&random, static_cast<int>(FaultKind::kUdpCut), static_cast<int>(FaultKind::kUdpStray)));
       worker_fault(kind, 100, table.length_ms - 300, 300, kLongerThanLease);
       Fault& f = table.faults.back();
       f.worker =
--- a/tests/fleet/timetable.h
+++ b/tests/fleet/timetable.h
@@ -32,6 +32,7 @@
   kUdpDelay,    // each takes `amount` ms longer
   kUdpReorder,  // each takes up to `amount` ms longer, drawn for each
   kUdpDouble,   // `amount` percent come twice
+  kUdpStray,    // `amount` datagrams that are none of theirs come to the peer, from its fellow's address
 };
 
 struct Fault {
