Free what the rig's workers still had to answer when their connections end

Need: under the sanitizers the rig read its map of jobs after its end, as workers outlived it, and leaked requests: evhttp leaves one that is not answered to its user where the connection ends by itself.

Change: jobs are declared before the workers that tell of their ends; a request without a connection is freed by whoever had it.

--- a/tests/fleet/discovery.cpp
+++ b/tests/fleet/discovery.cpp
@@ -22,6 +22,10 @@
 
 }  // namespace
 
+void FreeIfLeft(evhttp_request* request) {
+  if (request != nullptr && evhttp_request_get_connection(request) == nullptr) evhttp_request_free(request);
+}
+
 StandInDiscovery::StandInDiscovery(event_base* base, bool pushed, nlohmann::json list, std::uint64_t version,
                                    Told told)
     : base_(base),
@@ -58,6 +62,7 @@
 
 void StandInDiscovery::OnEnd(evhttp_connection*, void* arg) {
   auto* call = static_cast<Call*>(arg);
+  FreeIfLeft(call->request);
   call->discovery->Remove(call);
 }
 
--- a/tests/fleet/discovery.h
+++ b/tests/fleet/discovery.h
@@ -16,6 +16,9 @@
 
 namespace aldersill::fleet {
 
+// A connection has ended that had this request: evhttp leaves some requests to whoever was to answer them.
+void FreeIfLeft(evhttp_request* request);
+
 class StandInDiscovery {
  public:
   // Called as a worker's state goes out to the dispatcher, or for an agent's list as the agent has it.
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -171,7 +171,7 @@
     const int number = ++jobs_at_workers_;
     Job& job = at_work_[number];
     job.request = request;
-    // Its connection may end before it does: evhttp frees the request then.
+    // Its connection may end before it does.
     evhttp_request_set_on_complete_cb(request, nullptr, nullptr);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), &Play_::OnWorkerConnectionEnd,
                                   new std::pair<Play_*, int>(this, number));
@@ -214,7 +214,8 @@
 
   static void OnWorkerConnectionEnd(evhttp_connection*, void* arg) {
     const std::unique_ptr<std::pair<Play_*, int>> of(static_cast<std::pair<Play_*, int>*>(arg));
-    of->first->at_work_.at(of->second).request = nullptr;
+    evhttp_request* request = std::exchange(of->first->at_work_.at(of->second).request, nullptr);
+    FreeIfLeft(request);
   }
 
   // ---- Links ----
@@ -646,8 +647,8 @@
   Run run_;
   std::uint64_t attempts_ = 0;
   int runs_ = 0, jobs_at_workers_ = 0, waiting_ = 0;
+  std::map<int, Job> at_work_;  // before the workers, whose end is told to it
   std::vector<std::unique_ptr<Worker>> workers_;
-  std::map<int, Job> at_work_;
   std::vector<std::vector<std::unique_ptr<Relay>>> links_;
   std::vector<Daemon> daemons_;
   std::vector<std::vector<std::unique_ptr<StandInDiscovery>>>
