Let the rig's questions go without deferred callbacks, which outlived the loop

Need: the sanitizers reported ten allocations of a play with members: a question under way when the loop ends was kept by its deferred callback.

--- a/tests/fleet/question.cpp
+++ b/tests/fleet/question.cpp
@@ -12,19 +12,22 @@
 
 Question::Question(event_base* base, const std::string& socket, const std::string& question, Done done)
     : done_(std::move(done)),
-      stream_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+      stream_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
       refused_(base, [this] { End(""); }) {
   sockaddr_un to{};
   to.sun_family = AF_UNIX;
   if (socket.size() >= sizeof(to.sun_path))
     throw std::runtime_error(socket + " is longer than a socket's path can be");
   std::memcpy(to.sun_path, socket.c_str(), socket.size() + 1);
+  if (bufferevent_socket_connect(stream_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0) {
+    refused_.Set(0);
+    return;
+  }
+  // Only now: a refusal is told from within the call.
   bufferevent_setcb(stream_.get(), &Question::OnRead, nullptr, &Question::OnEvent, this);
   const std::string line = question + "\n";
   bufferevent_write(stream_.get(), line.data(), line.size());
   bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
-  if (bufferevent_socket_connect(stream_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0)
-    refused_.Set(0);
 }
 
 void Question::OnRead(bufferevent* stream, void* arg) {
