--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -405,7 +405,11 @@
     NoteAgents(d);
   }
 
-  void Do(const Fault& f) {
+  void Do(Fault f) {
+    // A long stop is there for whoever holds the duty.
+    const auto holder = std::ranges::find_if(daemons_, [](const Daemon& d) { return d.holds; });
+    if (f.kind == FaultKind::kPause && f.for_ms >= kLongerThanLease && holder != daemons_.end())
+      f.dispatcher = static_cast<int>(holder - daemons_.begin());
     Daemon& daemon = daemons_[f.dispatcher];
     const auto later = [&](auto undo) { At(f.for_ms, undo); };
     // Done to the link or links at once, and undone after its time.
--- a/tests/fleet/timetable.cpp
+++ b/tests/fleet/timetable.cpp
@@ -15,7 +15,6 @@
     "kill",     "terminate", "pause",       "cut_there",  "cut_back", "delay", "trickle",
     "reset",    "hang",      "drain",       "silence",    "move",     "down",  "udp_cut",
     "udp_thin", "udp_delay", "udp_reorder", "udp_double", "udp_stray"};
-constexpr int kLongerThanLease = 2'500;
 
 bool OfDatagrams(FaultKind kind) { return kind >= FaultKind::kUdpCut; }
 
@@ -82,8 +81,8 @@
           Between(&random, 0, 1) == 0 ? -1 : (f.dispatcher + Between(&random, 1, dispatchers)) % dispatchers;
       f.amount = Between(&random, 10, 90);
     }
-    // One of the voters stands still for longer than it can hold a duty.
-    worker_fault(FaultKind::kPause, 300, 1'500, kLongerThanLease, kLongerThanLease);
+    // The holder, or else a voter, stands still for longer than it can hold a duty.
+    worker_fault(FaultKind::kPause, 1'200, 1'800, kLongerThanLease, kLongerThanLease);
     table.faults.back().dispatcher %= kVoters;
   }
   std::ranges::sort(table.faults, {}, &Fault::at_ms);
--- a/tests/fleet/timetable.h
+++ b/tests/fleet/timetable.h
@@ -11,6 +11,8 @@
 
 // The first so many dispatchers decide on who holds a duty, where they know one another.
 constexpr int kVoters = 3;
+// Of stops, in milliseconds: one as long is of whoever holds the duty then, if somebody does.
+constexpr int kLongerThanLease = 2'500;
 
 enum class FaultKind {
   kKill,       // SIGKILL, and started anew after `for_ms`
