Divide fleet-wide budgets among dispatchers by grants that end, as a pure package

A limit that all dispatchers share (mails a second, slots at a service, an amount an hour) can so far only be split by hand, a fixed part for each; what one does not use, no other can.

src/budgets/: the holder of the exclusive duty deals shares (weighted max-min by demand), each until an end; an instance shows what it has with each ask, and only the answer to its last ask changes that. A new holder renews what it is shown and deals only when all earlier grants have ended. Ruled out: growing on a message's own time of arrival, which a pause or a slow network makes worthless.

--- /dev/null
+++ b/src/budgets/division.cpp
@@ -0,0 +1,47 @@
+#include "budgets/division.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace aldersill::budgets {
+
+std::vector<Units> Divide(Units whole, Units floors, const std::vector<Claim>& claims) {
+  std::vector<Units> shares(claims.size(), 0);
+  double weights = 0;
+  for (const Claim& c : claims) weights += c.weight;
+  if (weights <= 0 || whole <= 0) return shares;
+  std::vector<double> wants(claims.size());
+  for (std::size_t i = 0; i < claims.size(); ++i) {
+    wants[i] = std::max(static_cast<double>(std::max<Units>(0, claims[i].demand)),
+                        static_cast<double>(floors) * claims[i].weight / weights);
+  }
+  // From the smallest want a weight upwards: whoever wants less than the level has all of it.
+  std::vector<std::size_t> order(claims.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::erase_if(order, [&](std::size_t i) { return claims[i].weight == 0; });
+  std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    return wants[a] * claims[b].weight < wants[b] * claims[a].weight;
+  });
+  double left = static_cast<double>(whole), weights_left = weights;
+  std::vector<double> exact(claims.size(), 0.0);
+  for (const std::size_t i : order) {
+    exact[i] = std::min(wants[i], left * claims[i].weight / weights_left);
+    left -= exact[i];
+    weights_left -= claims[i].weight;
+  }
+  Units given = 0;
+  for (const std::size_t i : order) {
+    // Less a thousandth of a unit at most: what rounding up would add could bring the sum above the whole.
+    shares[i] = static_cast<Units>(std::floor(exact[i] + left * claims[i].weight / weights + 1e-6));
+    shares[i] = std::min(shares[i], whole - given);
+    given += shares[i];
+  }
+  // What rounding left over, one by one to who wants it, the largest want first.
+  for (auto at = order.rbegin(); at != order.rend() && given < whole; ++at) {
+    if (static_cast<double>(shares[*at]) < wants[*at]) ++shares[*at], ++given;
+  }
+  return shares;
+}
+
+}  // namespace aldersill::budgets
--- /dev/null
+++ b/src/budgets/purse.cpp
@@ -0,0 +1,272 @@
+#include "budgets/purse.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace aldersill::budgets {
+namespace {
+
+constexpr Micros kNever = INT64_MAX;
+constexpr Micros kSmoothed = 2 * kSecond;  // demand is an average that forgets within this time
+
+double Seconds(Micros time) { return static_cast<double>(time) / kSecond; }
+
+}  // namespace
+
+Purse::Purse(Settings settings)
+    : s_(std::move(settings)),
+      digest_(Digest(s_)),
+      soon_(s_.grant / 20),
+      retry_(s_.grant / 8),
+      calm_(s_.grant / 4),
+      pockets_(s_.budgets.size()) {}
+
+void Purse::Handle(Micros now, PurseEvent event, std::vector<PurseEffect>* effects) {
+  CatchUp(now);
+  effects_ = effects;
+  std::visit([this](const auto& e) { On(e); }, event);
+  if (!lapsed_ && now_ >= until_) {
+    lapsed_ = true;
+    ++counters_.lapsed;
+    effects_->push_back(PurseSays{{ErrorCode::kNoGrant, s_.name}});
+  }
+}
+
+Micros Purse::next_due() const {
+  if (left_) return kNever;
+  return lapsed_ ? due_ : std::min(due_, until_);
+}
+
+int Purse::Index(std::string_view budget) const {
+  for (std::size_t i = 0; i < s_.budgets.size(); ++i) {
+    if (s_.budgets[i].name == budget) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+// ---- What may be used ----
+
+Units Purse::CarefulNow(const Budget& b, Micros now) const {
+  if (s_.seat > s_.instances || left_) return 0;
+#ifdef ALDERSILL_PLANT_CAREFUL_TWICE  // the defect that the search must find (tests/budgets)
+  static_cast<void>(now);
+#else
+  // What the seat's former life took of it may be in use still, or used in this window.
+  const Micros drifted =
+      started_at_ + static_cast<Micros>(static_cast<double>(b.longest_use) * (1 + 2 * s_.most_drift));
+  if (b.kind == Kind::kLevel && now < drifted) return 0;
+  if (b.kind == Kind::kAmount && WindowAt(b, now) <= WindowAt(b, started_at_ + s_.most_apart)) return 0;
+#endif
+  return Careful(b, s_.instances);
+}
+
+double Purse::Cap(const Budget& b, Units share) const {
+  const double own = s_.seat <= s_.instances ? 1.0 : 0.0;
+  return own + static_cast<double>(b.burst - s_.instances) * static_cast<double>(share) /
+                   static_cast<double>(std::max<Units>(1, Dealt(b, s_.instances)));
+}
+
+void Purse::FillTo(const Budget& b, Pocket* p, Units share, Micros to) const {
+  if (to <= p->filled_at) return;
+  // A fast clock must not make more of a second than there is in it.
+  const double rate = static_cast<double>(share + CarefulNow(b, to)) / kUnitsAStart * (1 - s_.most_drift);
+  p->tokens = std::min(p->tokens + rate * Seconds(to - p->filled_at), Cap(b, share));
+  p->filled_at = to;
+}
+
+void Purse::Fill(const Budget& b, Pocket* p, Micros now) const {
+  // What came until the grant's end came by the grant; from there on by the careful share, in a smaller
+  // bucket.
+  FillTo(b, p, p->share, std::min(now, until_));
+  if (now >= until_) FillTo(b, p, 0, now);
+  p->tokens = std::min(p->tokens, Cap(b, ShareNow(*p, now)));
+}
+
+void Purse::CatchUp(Micros now) {
+  now_ = std::max(now_, now);
+  for (std::size_t i = 0; i < pockets_.size(); ++i) {
+    const Budget& b = s_.budgets[i];
+    Pocket& p = pockets_[i];
+    if (b.kind == Kind::kRate) Fill(b, &p, now_);
+    if (const std::uint64_t window = WindowAt(b, now_); window != p.window) {
+      p.window = window;
+      p.share = 0, p.used = 0, p.refused = 0;
+      due_ = std::min(due_, now_);
+    }
+  }
+}
+
+Units Purse::Allowed(Micros now, std::string_view budget) const {
+  const int i = Index(budget);
+  if (i < 0 || left_) return 0;
+  const Budget& b = s_.budgets[i];
+  // A share of a window is of no other, also where nothing has happened here since.
+  const Units share = pockets_[i].window == WindowAt(b, now) ? ShareNow(pockets_[i], now) : 0;
+  return share + CarefulNow(b, now);
+}
+
+std::optional<ErrorCode> Purse::Take(Micros now, std::string_view budget, std::int64_t count) {
+  const int i = Index(budget);
+  if (i < 0) return ErrorCode::kUnknown;
+  if (left_) return ErrorCode::kLeaving;
+  CatchUp(now);
+  const Budget& b = s_.budgets[i];
+  Pocket& p = pockets_[i];
+  p.attempts += count;
+#ifdef ALDERSILL_PLANT_CHECKS_NO_END
+  const bool granted = true;
+#else
+  const bool granted = now_ < until_;
+#endif
+  const Units allowed = (granted ? p.share : 0) + CarefulNow(b, now_);
+  const bool may = b.kind == Kind::kRate ? p.tokens >= static_cast<double>(count) : p.used + count <= allowed;
+  if (may) {
+    b.kind == Kind::kRate ? void(p.tokens -= static_cast<double>(count)) : void(p.used += count);
+    p.peak = std::max(p.peak, p.used);
+    // Work that was not there: to be told soon.
+    if (b.kind != Kind::kRate && p.used + p.waiting > p.told) AskSoon();
+    return std::nullopt;
+  }
+  ++counters_.refused;
+  p.refused += count;
+  AskSoon();
+  if (granted) return ErrorCode::kUsedUp;
+  return s_.seat > s_.instances ? ErrorCode::kNoSeat : ErrorCode::kNoGrant;
+}
+
+void Purse::Free(Micros now, std::string_view budget, std::int64_t count) {
+  const int i = Index(budget);
+  if (i < 0 || s_.budgets[i].kind != Kind::kLevel) return;
+  CatchUp(now);
+  pockets_[i].used = std::max<std::int64_t>(0, pockets_[i].used - count);
+}
+
+void Purse::Waiting(Micros now, std::string_view budget, std::int64_t count) {
+  const int i = Index(budget);
+  if (i < 0) return;
+  CatchUp(now);
+  Pocket& p = pockets_[i];
+  p.waiting = count;
+  p.peak = std::max(p.peak, p.used + p.waiting);
+  if (2 * (p.used + p.waiting) > 3 * p.told) AskSoon();
+}
+
+// ---- Asking ----
+
+void Purse::Measure() {
+  const Micros passed = now_ - measured_at_;
+  if (passed <= 0) return;
+  const double keeps = std::exp(-Seconds(passed) / Seconds(kSmoothed));
+  for (Pocket& p : pockets_) {
+    p.offered = p.offered * keeps + static_cast<double>(p.attempts) / Seconds(passed) * (1 - keeps);
+    p.attempts = 0;
+  }
+  measured_at_ = now_;
+}
+
+Units Purse::Demand(const Budget& b, const Pocket& p) const {
+  switch (b.kind) {
+    case Kind::kRate:
+      return static_cast<Units>(p.offered * kUnitsAStart);
+    case Kind::kLevel:
+      return std::max(p.peak, p.used + std::max(p.waiting, p.refused));
+    case Kind::kAmount: {
+      // For some asks ahead, not for the whole rest: others will want of it too.
+      const Micros ahead = std::min<Micros>(4 * calm_, b.window - now_ % b.window);
+      return p.used + p.refused + static_cast<Units>(std::ceil(p.offered * Seconds(ahead)));
+    }
+  }
+  return 0;
+}
+
+void Purse::SendNow() {
+  due_ = now_ + (holder_.empty() ? calm_ : retry_);
+  if (holder_.empty()) return;
+  Measure();
+  Ask ask{s_.epoch, ++number_, digest_, s_.weight, left_, {}};
+  for (std::size_t i = 0; i < pockets_.size(); ++i) {
+    const Budget& b = s_.budgets[i];
+    Pocket& p = pockets_[i];
+    AskLine line;
+    p.told = left_ ? 0 : Demand(b, p);
+    line.demand = p.told;
+    line.share = left_ ? 0 : ShareNow(p, now_);
+    if (b.kind != Kind::kRate) line.beyond = std::max<Units>(0, p.used - CarefulNow(b, now_));
+    line.window = p.window;
+    ask.lines.push_back(line);
+    p.peak = p.used;
+    p.refused = 0;
+  }
+  asked_at_ = now_;
+  answered_ = false;
+  ++counters_.asked;
+  effects_->push_back(SendAsk{holder_, std::move(ask)});
+}
+
+void Purse::On(const PurseStarted&) {
+  started_at_ = measured_at_ = now_;
+  for (Pocket& p : pockets_) p.filled_at = now_;
+  due_ = now_;
+  if (s_.seat > s_.instances) effects_->push_back(PurseSays{{ErrorCode::kNoSeat, s_.name}});
+}
+
+void Purse::On(const HolderIs& e) {
+  if (e.term <= holder_term_) return;
+  holder_ = e.name;
+  holder_term_ = e.term;
+  if (!left_) SendNow();
+}
+
+void Purse::On(const PurseTime&) {
+  if (!left_ && now_ >= due_) SendNow();
+}
+
+void Purse::On(const GiveBack&) {
+  if (left_) return;
+  left_ = true;
+  until_ = now_;
+  lapsed_ = true;
+  SendNow();
+}
+
+void Purse::On(const AnswerHeard& e) {
+  const Answer& a = e.answer;
+  // Only the answer to the last ask: what was shown by it is still all that there is. (An answer to an
+  // earlier one may give back what has been shown as given up since, and is another's by now.)
+#ifdef ALDERSILL_PLANT_ANY_ANSWER
+  const bool last = a.number <= number_;
+#else
+  const bool last = a.number == number_ && !answered_;
+#endif
+  if (left_ || a.epoch != s_.epoch || !last || a.term < term_ || a.lines.size() != pockets_.size()) {
+    ++counters_.stale;
+    return;
+  }
+  const Micros until =
+      asked_at_ + static_cast<Micros>(static_cast<double>(a.lasts) * (1.0 - 2.0 * s_.most_drift));
+  const bool had = now_ < until_;
+  bool less = false;
+  for (std::size_t i = 0; i < pockets_.size(); ++i) {
+    Pocket& p = pockets_[i];
+    const AnswerLine& line = a.lines[i];
+    const Units before = had ? p.share : 0;
+    Units share = line.window == p.window ? std::max<Units>(0, line.share) : 0;
+#ifndef ALDERSILL_PLANT_RENEWS_ENDED
+    // The holder knows it only from what was shown: where that has ended since, it may be another's.
+    if (line.renewal) share = std::min(share, before);
+#endif
+    less |= share < before;
+    p.share = share;
+  }
+  answered_ = true;
+  due_ = asked_at_ + calm_;
+  term_ = a.term;
+  until_ = until;
+  lapsed_ = now_ >= until_;
+  ++counters_.answered;
+  CatchUp(now_);        // buckets are cut to size at once
+  if (less) AskSoon();  // what was given up is of use to others only when it is known
+}
+
+}  // namespace aldersill::budgets
