Tell a hand-over within the write, so that no request that went out passes for unsent

The instance link told ExecutionHandedOver from the stream's write callback, which BEV_OPT_DEFER_CALLBACKS puts off to the end of the loop's turn. By then the request's bytes are the kernel's. News in the same turn that the instance drains found the execution not handed over, ended it as kNotSent ("never ran", Reducer::On(NameTableNews)), and the module sent it elsewhere. At fault: Connection's bufferevent_setcb and OnWritten in src/http/instance_link.cpp; the same holds for Distrust and the hand-over's timer, which go by the same flag.

A callback on the output buffer now tells it, from within the write that leaves nothing over. Ruled out: a stream without deferred callbacks, as the read and event callbacks remove the connection and should not run inside the library's read and write. Whoever is told may end the connection there and then: the library holds the stream during its write and allows a buffer's callback to take itself off. A connection that goes takes its callback off and disables the stream, so that one which a deferred callback keeps alive writes nothing more. Outcomes on a break stay as they were: kLost once the last byte is the kernel's, else kConnectFailed.

--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -47,10 +47,20 @@
         link_(link),
         stream_(std::move(stream)),
         probe_timer_(link->base_, [this] { Break(Outcome::kTimeout); }) {
-    bufferevent_setcb(stream_.get(), &Connection::OnRead, &Connection::OnWritten, &Connection::OnEvent, this);
+    bufferevent_setcb(stream_.get(), &Connection::OnRead, nullptr, &Connection::OnEvent, this);
+    // At once, not with the stream's own callbacks, which are deferred: what else is due in the same turn of
+    // the loop, as news that the instance drains, must not take a request for one that never went out.
+    evbuffer_add_cb(bufferevent_get_output(stream_.get()), &Connection::OnTaken, this);
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
   }
+  ~Connection() {
+    // A deferred callback may keep the stream for a while: nothing may go out any more, and nobody be told.
+    evbuffer_remove_cb(bufferevent_get_output(stream_.get()), &Connection::OnTaken, this);
+    bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   // Connects a new one; false if that failed at once.
   bool Connect(const sockaddr_in& to) {
@@ -87,9 +97,9 @@
     bufferevent_write(stream_.get(), message.data(), message.size());
   }
 
-  static void OnWritten(bufferevent* stream, void* arg) {
+  static void OnTaken(evbuffer* output, const evbuffer_cb_info* info, void* arg) {
     auto* c = static_cast<Connection*>(arg);
-    if (c->handed_over_ || !c->execution_ || evbuffer_get_length(bufferevent_get_output(stream)) > 0) return;
+    if (info->n_deleted == 0 || c->handed_over_ || !c->execution_ || evbuffer_get_length(output) > 0) return;
     c->handed_over_ = true;
     c->link_->sink_->Tell(ExecutionHandedOver{*c->execution_});
   }
