--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -250,10 +250,9 @@
 
 TEST_CASE("a session's news does not pass for discovery's: the list is still asked for") {
   Bench b;
+  const auto timers = b.Effects<SetTimer>();  // among them the module's own, set at its start: it asks
   b.Tell(NameTableNews{NameTableNews::Form::kChanges, Instance::Source::kSession, {Bench::Worker("s")}});
-  // The module's own timer, set at its start, asks.
   bool asked = false;
-  const auto timers = b.Effects<SetTimer>();
   for (const SetTimer& timer : timers) {
     if (timer.key.wait != TimerKey::Wait::kModule) continue;
     b.Tell(TimerDue{timer.key}, 200 * kMillisecond);
