--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -149,8 +149,9 @@
   s.nodes = f["peersTotal"].Small(s.nodes);
   s.over_share_worth = f["overShareWorth"].Number(s.over_share_worth);
   s.worth_by_work = OneOf<bool>(f["valueBy"], "request", {{"request", false}, {"work", true}});
-  // Anything else is asked with care: it may be one service for all.
-  s.subscribe = f["discovery"].Text("subscribe") != "automatic";
+  // Where nothing is told it is asked: a service that is asked as an agent would be is overbooked, the
+  // reverse is slow.
+  s.subscribe = OneOf<bool>(f["discovery"], "subscribe", {{"automatic", false}, {"subscribe", true}});
   s.tells_start = f["familyInfo"]["tellsStart"].Bool(s.tells_start);
   s.progress = f["familyInfo"]["progress"].Whole(s.progress);
   s.reports = OneOf<Reports>(
