See a client go though it sent much behind its request, and throw the rest away

Cause: while a request is in hand the bufferevent's high watermark (kReadAhead, 16 KiB) stopped the reading once so much lay behind it. Neither the end nor a reset of the connection was seen any more, and the job of a client that had gone was sent on and ran to its deadline. At fault: client_front.cpp, the constructor's bufferevent_setwatermark and OnRead, which took nothing off while the state was not kReading.

Ruled out: the end alone, without a flood, was seen (the same test with 0 bytes behind the request passes before); it is not the worker's link, whose connection ends at once when the core is told.

Change: reading never stops. What comes behind the request in hand waits, up to what one honest request may hold with its chunks' framing (RequestReader::kMostBytes), and counts against the front's bound on unfinished bytes. Beyond that all that comes is thrown away by the kernel (MSG_TRUNC), and the answer ends the connection. An answer that turns a request away throws away from its start on, not only once it is written.

--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -27,7 +27,6 @@
 constexpr Micros kLinger = 3 * kSecond;
 constexpr std::size_t kLingerBytes = 96 << 20;
 constexpr std::size_t kLingerGulp = 1 << 20;
-constexpr std::size_t kReadAhead = 16 * 1024;
 // Bodies this small are taken even where memory is short: those of usual clients are.
 constexpr std::size_t kSmall = 4 * 1024;
 // A newcomer's request is on its way; one that comes in pieces may take a little longer.
@@ -88,7 +87,6 @@
         stream_(bufferevent_socket_new(front->base_, fd, BEV_OPT_DEFER_CALLBACKS)),
         timer_(front->base_, [this] { OnTimer(); }) {
     bufferevent_setcb(stream_.get(), &Connection::OnRead, &Connection::OnWritten, &Connection::OnEvent, this);
-    bufferevent_setwatermark(stream_.get(), EV_READ, 0, kReadAhead);
     bufferevent_set_timeouts(stream_.get(), nullptr, &kWriteWithin);
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
     timer_.Set(kArrival);
@@ -155,7 +153,7 @@
 
   static void OnRead(bufferevent*, void* arg) {
     auto* c = static_cast<Connection*>(arg);
-    if (c->state_ == State::kReading) c->Read();  // else it waits: one request at a time
+    c->state_ == State::kReading ? c->Read() : c->KeepForLater();
   }
   static void OnWritten(bufferevent* stream, void* arg) {
     auto* c = static_cast<Connection*>(arg);
@@ -193,21 +191,33 @@
           reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
       try {
         evbuffer_drain(input, reader_.Read({bytes, size}));
-        Count(reader_.whole() ? 0 : reader_.held());
+        if (!Count(reader_.whole() ? 0 : reader_.held()))
+          throw BadRequest(503, "no room for so large a request now");
         if (reader_.WantsContinue()) bufferevent_write(stream_.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25);
         if (reader_.whole()) Take();
       } catch (const BadRequest& e) {
         return Refuse(e.code, e.what());
       }
     }
+    KeepForLater();
   }
 
-  // What has come of a request that is not whole counts against what all of them may hold.
-  void Count(std::size_t bytes) {
+  // One request at a time: what comes behind the one in hand waits, as much as the next may hold. But reading
+  // never stops, or the end of a client that sends much and goes would lie unseen behind it, and its job be
+  // sent on. So the rest is thrown away, and with it the order of the stream: the answer ends the connection.
+  void KeepForLater() {
+    const std::size_t size = evbuffer_get_length(bufferevent_get_input(stream_.get()));
+    if (Count(size) && size <= RequestReader::kMostBytes) return;
+    last_ = true;
+    ThrowAwayRest();
+  }
+
+  // What has come of a request that is not whole counts against what all of them may hold; false where that
+  // leaves no room for it.
+  bool Count(std::size_t bytes) {
     front_->unfinished_bytes_ += bytes - counted_;
     counted_ = bytes;
-    if (front_->unfinished_bytes_ > front_->s_.most_bytes && bytes > kSmall)
-      throw BadRequest(503, "no room for so large a request now");
+    return bytes <= kSmall || front_->unfinished_bytes_ <= front_->s_.most_bytes;
   }
 
   void Take() {
@@ -238,7 +248,7 @@
   // An answer after which nothing more can be read off this connection.
   void Refuse(int code, const std::string& why) {
     keep_ = false;
-    Count(0);
+    ThrowAwayRest();
     front_->TurnedAway(code, why, IdOf(reader_.request()));
     Write(code, why + "\n", code == 503 ? "Retry-After: " + DecimalSeconds(kBusyAdvice) + "\r\n" : "");
   }
@@ -267,11 +277,20 @@
 
   void Linger() {
     state_ = State::kLingering;
-    const evutil_socket_t fd = bufferevent_getfd(stream_.get());
-    bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
-    shutdown(fd, SHUT_WR);
+    bufferevent_disable(stream_.get(), EV_WRITE);
+    shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
     timer_.Set(kLinger);
-    rest_.reset(event_new(front_->base_, fd, EV_READ | EV_PERSIST, &Connection::OnRest, this));
+    if (rest_ == nullptr) ThrowAwayRest();
+  }
+
+  // Nothing that comes from here on is kept; its end is still seen.
+  void ThrowAwayRest() {
+    bufferevent_disable(stream_.get(), EV_READ);
+    evbuffer* input = bufferevent_get_input(stream_.get());
+    evbuffer_drain(input, evbuffer_get_length(input));
+    Count(0);
+    rest_.reset(event_new(front_->base_, bufferevent_getfd(stream_.get()), EV_READ | EV_PERSIST,
+                          &Connection::OnRest, this));
     event_add(rest_.get(), nullptr);
   }
 
@@ -281,12 +300,14 @@
     const ssize_t size = recv(fd, nullptr, kLingerGulp, MSG_TRUNC | MSG_DONTWAIT);
     if (size < 0 && (errno == EAGAIN || errno == EINTR)) return;
     if (size > 0 && (c->thrown_away_ += static_cast<std::size_t>(size)) < kLingerBytes) return;
+    // One that has ended its sending, with an answer on its way, still reads that.
+    if (size == 0 && c->state_ == State::kWriting) return c->rest_.reset();
     c->front_->Remove(c);
   }
 
   ClientFront* front_;
   EventPtr<bufferevent> stream_;
-  EventPtr<event> rest_;  // after the last answer: freed before the stream closes the descriptor
+  EventPtr<event> rest_;  // of what is thrown away: freed before the stream closes the descriptor
   Timer timer_;
   RequestReader reader_;
   State state_ = State::kReading;
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -18,6 +18,7 @@
  public:
   static constexpr std::size_t kMostHead = 16 * 1024;
   static constexpr std::size_t kMostBody = 64 * 1024;
+  static constexpr std::size_t kMostBytes = 2 * (kMostHead + kMostBody);  // with what frames its chunks
 
   RequestReader() { Reset(); }
   RequestReader(const RequestReader&) = delete;
