Refuse settings whose classes lack what makes them, and name the platform's field

Seen: a class without `repeat` was served as fragile, one without a deadline for 1 s, one without an aim for 0.1 s, and a class with keys and a window of 0 or none was never repeated (ReadClass in src/config/config.cpp fell back to the module's defaults). Numbers out of range were refused, but by the module's own names ("setting classes[0].target", "nodes") and as bad_configuration without a path; a number such as 1e999 was told as "is not JSON". Two classes with one name were taken.

Now each class has to tell name, repeat, target and deadline, and dedupWindow where repeat is dedup; each number is held to the module's range where it is read, under the platform's path. Left as they were: whole groups that may be left out (`rules`, `limits`, `tenants`, ...), whose defaults are the careful ones; fields and classes never seen, which are served. The module itself refuses a keyed class without a window too.

lifecycle_test's row for target now wants "settings.grades[0].target", the name in the operator's file, where it wanted the module's "classes[0].target".

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -46,6 +46,11 @@
     throw MissingField(path_, path_ + " is missing: it must be " + wanted);
   }
 
+  // Itself, where it is told.
+  const Field& Required(const std::string& wanted) const {
+    if (!present()) Missing(wanted);
+    return *this;
+  }
   std::string Text() const {
     if (json_ == nullptr) Missing("a string");
     if (!json_->is_string()) Bad("must be a string");
@@ -68,6 +73,31 @@
       Bad("is out of range");
     return static_cast<int>(value);
   }
+  double NotNegative(double fallback) const {
+    const double value = Number(fallback);
+    if (!(value >= 0.0)) Bad("must not be negative");
+    return value;
+  }
+  double Fraction(double fallback) const {
+    const double value = Number(fallback);
+    if (!(value >= 0.0 && value <= 1.0)) Bad("must lie between 0 and 1");
+    return value;
+  }
+  std::int64_t Time(std::int64_t fallback) const {
+    const std::int64_t value = Whole(fallback);
+    if (value < 0) Bad("must not be negative");
+    return value;
+  }
+  std::int64_t PositiveTime(std::int64_t fallback) const {
+    const std::int64_t value = Whole(fallback);
+    if (value <= 0) Bad("must be positive");
+    return value;
+  }
+  int AtLeast(int least, int fallback) const {
+    const int value = Small(fallback);
+    if (value < least) Bad("must be at least " + std::to_string(least));
+    return value;
+  }
   bool Bool(bool fallback) const {
     if (!present()) return fallback;
     if (!json_->is_boolean()) Bad("must be true or false");
@@ -79,14 +109,16 @@
   std::string path_;
 };
 
+// `fallback`: the word where none is told; empty where one has to be.
 template <typename T>
 T OneOf(const Field& field, const std::string& fallback,
         std::initializer_list<std::pair<const char*, T>> words) {
-  const std::string text = field.Text(fallback);
   std::vector<std::string> wanted;
+  for (const auto& [word, value] : words) wanted.push_back(word);
+  if (fallback.empty()) field.Required("one of " + Listed(wanted));
+  const std::string text = field.Text(fallback);
   for (const auto& [word, value] : words) {
     if (text == word) return value;
-    wanted.push_back(word);
   }
   const std::string near = NearName(text, wanted);
   field.Bad("must be one of " + Listed(wanted) + ", not '" + text + "'" +
@@ -100,26 +132,32 @@
   return items[std::min(i, items.size() - 1)];
 }
 
-pulleyrouter::ClassSettings ReadClass(const Field& f, const Field& family, std::size_t i) {
+pulleyrouter::ClassSettings ReadClass(const Field& f, const Field& family, std::size_t i, int kinds) {
   using pulleyrouter::KeyScope;
   using pulleyrouter::Repeat;
   pulleyrouter::ClassSettings c;
+  // What makes a class is told, never guessed: a default would hold its requests to the rules of another.
+  const std::string time = "a time in microseconds";
   c.name = f["name"].Text();
-  c.target = f["target"].Whole(c.target);
-  c.deadline = f["deadline"].Whole(c.deadline);
-  c.worth = f["worth"].Number(c.worth);
-  c.late_worth = f["lateValue"].Number(c.late_worth);
-  c.window = f["dedupWindow"].Whole(c.window);
+  c.target = f["target"].Required(time).PositiveTime(0);
+  c.deadline = f["deadline"].Required(time).PositiveTime(0);
+  c.worth = f["worth"].NotNegative(c.worth);
+  c.late_worth = f["lateValue"].Fraction(c.late_worth);
   c.streaming = f["streaming"].Bool(c.streaming);
   c.repeat = OneOf<Repeat>(
-      f["repeat"], "fragile",
+      f["repeat"], "",
       {{"retryable", Repeat::kRepeatable}, {"dedup", Repeat::kKeyed}, {"fragile", Repeat::kUnsafe}});
+  c.window = c.repeat == Repeat::kKeyed ? f["dedupWindow"].Required(time).PositiveTime(0)
+                                        : f["dedupWindow"].Time(c.window);
   c.scope = OneOf<KeyScope>(f["dedupScope"], "all",
                             {{"all", KeyScope::kAll}, {"zone", KeyScope::kZone}, {"cell", KeyScope::kCell}});
-  if (const auto kind = ItemOf(family["classKind"], i)) c.kind = kind->Small(-1);
+  if (const auto kind = ItemOf(family["classKind"], i)) {
+    c.kind = kind->AtLeast(-1, -1);
+    if (c.kind >= kinds) kind->Bad("names no machine type");
+  }
   if (const auto priority = ItemOf(family["classPriority"], i)) c.priority = priority->Small(0);
-  if (const auto stretch = ItemOf(family["classStretch"], i)) c.stretch = stretch->Number(0.0);
-  c.stretch = f["aimStretch"].Number(c.stretch);
+  if (const auto stretch = ItemOf(family["classStretch"], i)) c.stretch = stretch->NotNegative(0.0);
+  c.stretch = f["aimStretch"].NotNegative(c.stretch);
   return c;
 }
 
@@ -135,25 +173,31 @@
   const std::vector<Field> classes = f["grades"].Items();
   if (!f["grades"].present()) f["grades"].Missing("the list of classes, each with its name");
   if (classes.empty()) f["grades"].Bad("must name at least one class");
-  for (std::size_t i = 0; i < classes.size(); ++i)
-    s.classes.push_back(ReadClass(classes[i], f["familyInfo"], i));
+  s.kinds = ReadNames(f["machineTypes"]);
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    s.classes.push_back(ReadClass(classes[i], f["familyInfo"], i, static_cast<int>(s.kinds.size())));
+    if (!names.insert(s.classes.back().name).second) classes[i]["name"].Bad("is the name of two classes");
+  }
+  double shares = 0.0;
   for (const Field& t : f["tenants"].Items()) {
     auto& tenant = s.tenants.emplace_back();
     tenant.name = t["name"].Text();
-    tenant.share = t["share"].Number(tenant.share);
-    if (t["quotaPerS"].present()) tenant.quota_per_s = t["quotaPerS"].Number(0.0);
+    tenant.share = t["share"].NotNegative(tenant.share);
+    if (t["quotaPerS"].present()) tenant.quota_per_s = t["quotaPerS"].NotNegative(0.0);
+    shares += tenant.share;
   }
-  s.kinds = ReadNames(f["machineTypes"]);
+  if (!s.tenants.empty() && !(shares > 0.0)) f["tenants"].Bad("must hold a share between them");
   s.zones = ReadNames(f["zones"]);
   s.zone = f["locality"].Text("");
-  s.nodes = f["peersTotal"].Small(s.nodes);
-  s.over_share_worth = f["overShareWorth"].Number(s.over_share_worth);
+  s.nodes = f["peersTotal"].AtLeast(1, s.nodes);
+  s.over_share_worth = f["overShareWorth"].Fraction(s.over_share_worth);
   s.worth_by_work = OneOf<bool>(f["valueBy"], "request", {{"request", false}, {"work", true}});
   // Where nothing is told it is asked: a service that is asked as an agent would be is overbooked, the
   // reverse is slow.
   s.subscribe = OneOf<bool>(f["discovery"], "subscribe", {{"automatic", false}, {"subscribe", true}});
   s.tells_start = f["familyInfo"]["tellsStart"].Bool(s.tells_start);
-  s.progress = f["familyInfo"]["progress"].Whole(s.progress);
+  s.progress = f["familyInfo"]["progress"].Time(s.progress);
   s.reports = OneOf<Reports>(
       f["report"]["how"], "silent",
       {{"silent", Reports::kNone}, {"piggyback", Reports::kWithAnswers}, {"pull", Reports::kProbesOnly}});
@@ -169,17 +213,18 @@
   s.cancel = limits["cancel"].Bool(s.cancel);
   s.second_copies = limits["secondCopies"].Bool(s.second_copies);
   s.retry_after = limits["retryAfter"].Bool(s.retry_after);
-  s.max_attempts = limits["maxAttempts"].Small(s.max_attempts);
-  s.max_retry_after = limits["maxRetryAfter"].Whole(s.max_retry_after);
-  s.answer_slack = rules["answerSlack"].Whole(s.answer_slack);
-  s.drain_grace = rules["drainGrace"].Whole(s.drain_grace);
-  s.must_ask_in = rules["mustAskIn"].Whole(s.must_ask_in);
+  s.max_attempts = limits["maxAttempts"].AtLeast(1, s.max_attempts);
+  s.max_retry_after = limits["maxRetryAfter"].Time(s.max_retry_after);
+  s.answer_slack = rules["answerSlack"].Time(s.answer_slack);
+  s.drain_grace = rules["drainGrace"].Time(s.drain_grace);
+  s.must_ask_in = rules["mustAskIn"].PositiveTime(s.must_ask_in);
   s.overload_factor = rules["overloadFactor"].Number(s.overload_factor);
-  s.fall = rules["fall"].Whole(s.fall);
-  s.cold_share = rules["coldShare"].Number(s.cold_share);
-  s.warm_after = rules["warmAfter"].Whole(s.warm_after);
-  s.price_cross_zone = prices["crossZone"].Number(s.price_cross_zone);
-  s.price_probe = prices["probe"].Number(s.price_probe);
+  if (!(s.overload_factor > 0.0)) rules["overloadFactor"].Bad("must be positive");
+  s.fall = rules["fall"].PositiveTime(s.fall);
+  s.cold_share = rules["coldShare"].Fraction(s.cold_share);
+  s.warm_after = rules["warmAfter"].Time(s.warm_after);
+  s.price_cross_zone = prices["crossZone"].NotNegative(s.price_cross_zone);
+  s.price_probe = prices["probe"].NotNegative(s.price_probe);
   return s;
 }
 
@@ -256,8 +301,19 @@
 Json ReadJson(const std::string& path, const std::string& field) {
   std::ifstream file(path);
   if (!file) throw ConfigError(field + ": cannot read " + path);
-  Json json = Json::parse(file, nullptr, /*allow_exceptions=*/false);
-  if (json.is_discarded()) throw ConfigError(field + ": " + path + " is not JSON");
+  Json json;
+  std::string name;  // of the field that is being read
+  const auto note_name = [&name](int, Json::parse_event_t event, Json& parsed) {
+    if (event == Json::parse_event_t::key) name = parsed.get<std::string>();
+    return true;
+  };
+  try {
+    json = Json::parse(file, note_name);
+  } catch (const Json::out_of_range&) {
+    throw BadValue(name, name + " is a number out of range in " + path);
+  } catch (const Json::exception&) {
+    throw ConfigError(field + ": " + path + " is not JSON");
+  }
   if (!json.is_object()) throw ConfigError(field + ": " + path + " is not an object");
   return json;
 }
@@ -302,10 +358,8 @@
   const std::string seed = root["seed"].Text("0");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) root["seed"].Bad("must be hex digits");
-  c.sockets = root["limits"]["sockets"].Small(c.sockets);
-  if (c.sockets < 64) root["limits"]["sockets"].Bad("must be at least 64");
-  c.memory_mb = root["limits"]["memory_mb"].Small(c.memory_mb);
-  if (c.memory_mb < 16) root["limits"]["memory_mb"].Bad("must be at least 16");
+  c.sockets = root["limits"]["sockets"].AtLeast(64, c.sockets);
+  c.memory_mb = root["limits"]["memory_mb"].AtLeast(16, c.memory_mb);
   if (const Field known = root["known"]; known.present()) {
     try {
       NameTableMessage message = DecodeNameTable(known.json());
@@ -324,8 +378,7 @@
   } catch (const std::invalid_argument& e) {
     throw ConfigError(std::string("settings: ") + e.what());
   }
-  c.dial_timeout = settings["limits"]["dialTimeout"].Whole(c.dial_timeout);
-  if (c.dial_timeout <= 0) settings["limits"]["dialTimeout"].Bad("must be positive");
+  c.dial_timeout = settings["limits"]["dialTimeout"].PositiveTime(c.dial_timeout);
   std::set<std::string> unknown;
   FindUnknown(json, "", &unknown);
   c.unknown.assign(unknown.begin(), unknown.end());
--- a/src/pulleyrouter/settings.cpp
+++ b/src/pulleyrouter/settings.cpp
@@ -26,6 +26,8 @@
   RequireNotNegative(c.worth, at + "worth");
   RequireFraction(c.late_worth, at + "late_worth");
   Require(c.window >= 0, at + "window", "must not be negative");
+  Require(c.repeat != Repeat::kKeyed || c.window > 0, at + "window",
+          "must be positive where repeats are keyed");
   Require(c.kind >= -1 && c.kind < static_cast<int>(kinds), at + "kind", "names no worker kind");
 }
 
--- a/tests/daemon/lifecycle_test.cpp
+++ b/tests/daemon/lifecycle_test.cpp
@@ -37,7 +37,14 @@
        "settings.grades[1].repeat must be one of retryable, dedup, fragile, not 'often'"},
       {"/settings/report/how", "pul", "silent, piggyback, pull, not 'pul': did you mean 'pull'?"},
       {"/settings/tenants/0/name", nullptr, "settings.tenants[0].name is missing: it must be a string"},
-      {"/settings/grades/0/target", -5, "classes[0].target must be positive"},
+      {"/settings/grades/0/target", -5, "settings.grades[0].target must be positive"},
+      {"/settings/grades/1/repeat", nullptr,
+       "settings.grades[1].repeat is missing: it must be one of retryable, dedup, fragile"},
+      {"/settings/grades/0/deadline", nullptr,
+       "settings.grades[0].deadline is missing: it must be a time in microseconds"},
+      {"/settings/grades/0/deadline", 0, "settings.grades[0].deadline must be positive"},
+      {"/settings/grades/1/dedupWindow", 0, "settings.grades[1].dedupWindow must be positive"},
+      {"/settings/peersTotal", 0, "settings.peersTotal must be at least 1"},
       {"/settings/limits/dialTimeout", "soon", "settings.limits.dialTimeout must be a number"},
       {"/settings/tenants/0/share", true, "settings.tenants[0].share must be a number"},
   };
@@ -134,6 +141,31 @@
   CHECK(daemon.Wait() == 0);
 }
 
+TEST_CASE("a class that nobody has heard of, with fields that nobody knows, is served") {
+  tools::Player player({});
+  nlohmann::json config = Config();
+  config["discovery"] = "127.0.0.1:" + std::to_string(player.Listen("d1"));
+  nlohmann::json& classes = config["settings"]["grades"];
+  const nlohmann::json repeatable = classes[0];
+  classes = nlohmann::json::array({repeatable});
+  classes[0]["name"] = "route-check";
+  classes[0]["deadline"] = 300000;
+  classes[0]["target"] = 90000;
+  classes[0]["hue"] = {{"of", "red"}};
+  config["settings"]["outlook"] = {1, 2};
+  // No job waits for its tokens here.
+  for (auto& tenant : config["settings"]["tenants"]) tenant["quotaPerS"] = 1000.0;
+  player.Listen("w1");
+  DaemonUnderTest daemon(config, nlohmann::json::object());
+  REQUIRE(daemon.ports().contains("http"));
+  player.AddDoor("http", daemon.ports().at("http"));
+  CHECK(player.Play("accept d d1\n" + Call("d", "?index=1&wait=0") + List("d", 40, "s-1", "w1") +
+                    Call("d", "?index=40&wait={*}") + Ask("a", "route-check", "r1") + "accept x w1\n" +
+                    Run("x", "route-check", "r1") + Done("x", "r1") + "expect a\n| HTTP/1.1 200 OK\n") == "");
+  daemon.Signal(SIGTERM);
+  CHECK(daemon.Wait() == 0);
+}
+
 TEST_CASE("on SIGHUP a bad file is one log line, and the one before holds") {
   nlohmann::json config = Config();
   DaemonUnderTest daemon(config, nlohmann::json::object());
