Keep cold workers up under a surge of 300 nodes and where targets mislead

Many instances of the module in virtual time, settings drawn at random, against N + 2 sqrt(N) + 2 (tests/cold_fleet_test.cpp). Two faults in DrawCold:

What nodes kept of an idle window (min(..., s_.fall)) added up to 0.75 m over all of them, on top of the 0.75 m of the window itself: 1.5 m in all, over the bound from N = 240 or so. A third of a window may be kept now: m in all, four deviations under N. So that thin traffic uses no less, the time is no longer thrown away at each long job, which is not drawn anyhow. Where a target grows with the job's length (stretch) it may be a twentieth of the running time, and N came out up to twenty times too large until some dozens of answers had come, which takes one of 300 nodes a minute. What all workers run is taken to be at most 1.5 times what the quotas promise.

The second look at the drawn worker in Pick could never find it eligible, and has gone.

--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -40,6 +40,7 @@
 constexpr Micros kAnswerWithin = 300'000;  // a probe's answer that takes longer is none
 constexpr double kShort = 1.2;             // of a mean job: up to this long it may go to a cold worker
 constexpr double kVaries = 1.3;            // mean square over squared mean of the running times of one class
+constexpr double kOverQuota = 1.5;         // times their quotas: the most that all workers are taken to run
 constexpr double kScarce = 0.3;  // worth lost by others per running time of waiting added to a worker
 constexpr double kTie = 0.01;    // costs this close are equal: the least of them would never be tried again
 // How old a load report is when it comes: refreshed now and then and told late, by no setting's word.
@@ -441,15 +442,15 @@
   // Exception: rule 4. A cold worker gets from all nodes a rate at which even chance clusters stay below what
   // pushes it over. A node that meets it seldom cannot count that out in turns: each job that may go there is
   // drawn, with the chance that this node's part of the rate since its last draw amounts to, and goes there.
-  // What was not used lapses after a window, as a surge would have many nodes use at once what they kept.
-  // Long jobs, few of which make a cluster, stay away.
+  // What was not used lapses after a third of a window, as a surge would have many nodes use at once what
+  // they kept. Long jobs, few of which make a cluster, stay away.
   int DrawCold(const Request& r) {
-    const Micros since = std::min(now_ - std::exchange(drawn_at_, now_), s_.fall);
     std::erase_if(cold_, [this](int w) {
       return !Cold(fleet_.worker(w)) || fleet_.worker(w).state != WorkerEntry::State::kReady;
     });
     const double size = r.slots * run_time_[r.klass] / mean_job_;
     if (cold_.empty() || size > kShort) return kNone;
+    const Micros since = std::min(now_ - std::exchange(drawn_at_, now_), s_.fall / 3);
     double sizes = 0.0, classes = 0.0, parts = 0.0;
     for (const double run : run_time_) {
       const bool is_short = run <= kShort * mean_job_;
@@ -464,9 +465,12 @@
     }
     const Worker& w = fleet_.worker(cold_[at]);
     // m + 4 sqrt(v m) = mean jobs that it can bear in a window, v their mean square over their mean: four
-    // deviations fit under the bound. Three quarters for the window itself, the rest for what nodes keep.
-    const double slots = fleet_.ready_slots() * fleet_.part(w);
-    const double bears = s_.overload_factor * WarmShare(w) * slots * s_.fall / mean_job_;
+    // deviations fit under the bound. Three quarters for the window, a third of these for what was kept.
+    // A node that began a while ago knows running times by its targets alone, which may tell little of them:
+    // all workers are not taken to run far more than the quotas promise.
+    const double quotas = quota_ > 0.0 ? kOverQuota * quota_ * s_.nodes / kSecond : 1.0;
+    const double jobs_run = std::min(fleet_.ready_slots() / mean_job_, quotas) * fleet_.part(w) * s_.fall;
+    const double bears = s_.overload_factor * WarmShare(w) * jobs_run;
     const double v = kVaries * r.slots * sizes / classes;
     const double root = std::sqrt(4.0 * v + bears) - std::sqrt(4.0 * v);
     const double jobs = 0.75 * root * root * since / s_.fall / s_.nodes;
@@ -523,7 +527,6 @@
       for (std::size_t i = 0; i < looks; ++i)
         consider(fleet_.OnRing(near, Mix(*r.key + (from + i * (homes / looks)) % homes)), true, kFetch / 2.0);
     }
-    if (drawn != kNone) consider(drawn, true, kFetch);
     look(near, bound ? 4 * kSampled : kSampled, true);
     if (bound) return best;
     look(fleet_.InZone(c.kind, away), kSampled, true);
