Withdraw what is not handed over once its client has left or is answered

Cause: `Reducer::On(ClientLeft)` told only the module, which calls off where `settings.cancel` allows it. Elsewhere an execution that was still connecting went out up to a dial later, for nobody. The same held for a request that the module had refused or failed, or another copy had served, and for every class.

Ruled out: the module's own queue (`Do(Send)` sends nothing for a request that is answered), and the Faktory front, whose `Stop` takes a job out of those that wait for a FETCH.

Change: `ForgetIfDone` ends whatever has not been handed over as `not_sent`, whatever the class and whether cancels are allowed; what was handed over goes on as before. News and `Distrust` use the same `Withdraw`.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -200,9 +200,9 @@
   std::vector<ExecutionNo> late;
   for (const auto& [number, x] : executions_) {
     const auto known = name_table_.find(x.instance);
-    if (!x.handed_over && (known == name_table_.end() || !MayGetNew(known->second))) late.push_back(number);
+    if (known == name_table_.end() || !MayGetNew(known->second)) late.push_back(number);
   }
-  for (const ExecutionNo number : late) End(number, Outcome::kNotSent, "", {}, true);
+  Withdraw(late);
 }
 
 void Reducer::On(NameTableFailed&&) {
@@ -229,9 +229,9 @@
   TellModules(WholeList(WorkerList::Form::kCached));
   std::vector<ExecutionNo> late;
   for (const auto& [number, x] : executions_) {
-    if (!x.handed_over && x.source == Instance::Source::kDiscovery) late.push_back(number);
+    if (x.source == Instance::Source::kDiscovery) late.push_back(number);
   }
-  for (const ExecutionNo number : late) End(number, Outcome::kNotSent, "", {}, true);
+  Withdraw(late);
 }
 
 void Reducer::On(ProbeAnswered&& e) {
@@ -366,6 +366,14 @@
   ForgetIfDone(x.request);
 }
 
+void Reducer::Withdraw(const std::vector<ExecutionNo>& executions) {
+  for (const ExecutionNo number : executions) {
+    const auto found = executions_.find(number);
+    if (found != executions_.end() && !found->second.handed_over)
+      End(number, Outcome::kNotSent, "", {}, true);
+  }
+}
+
 void Reducer::Finish(std::uint64_t number, FinalAnswer answer) {
   const auto found = requests_.find(number);
   if (found == requests_.end() || std::exchange(found->second.answered, true)) return;
@@ -379,8 +387,11 @@
 }
 
 void Reducer::ForgetIfDone(std::uint64_t number) {
-  const auto found = requests_.find(number);
-  if (found == requests_.end() || !found->second.answered || found->second.open > 0) return;
+  auto found = requests_.find(number);
+  if (found == requests_.end() || !found->second.answered) return;
+  Withdraw(std::vector<ExecutionNo>(found->second.executions));  // nobody waits for them any more
+  found = requests_.find(number);
+  if (found == requests_.end() || found->second.open > 0) return;
   const Request& r = found->second;
   if (r.job->guard_repeats) repeats_.End(r.job->id, r.first_run);
   --modules_.at(r.module).open;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -94,6 +94,9 @@
   bool MayGetNew(const Instance& i) const;
   void End(ExecutionNo number, Outcome outcome, std::string result, LoadReport report, bool stop);
   void Finish(std::uint64_t number, FinalAnswer answer);
+  // Ends what has not been handed over, whether or not cancels are allowed: it never ran, and must not now.
+  void Withdraw(const std::vector<ExecutionNo>& executions);
+  // Of a request that is answered or whose client has left: only what was handed over goes on.
   void ForgetIfDone(std::uint64_t number);
   pulleyrouter::WorkerList WholeList(pulleyrouter::WorkerList::Form form) const;
   void Ask(Effect effect) { effects_->push_back(std::move(effect)); }
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -40,7 +40,7 @@
 
 class Bench {
  public:
-  Bench() {
+  explicit Bench(CoreSettings settings = Settings()) : core_(std::move(settings)) {
     Tell(NameTableNews{NameTableNews::Form::kRemembered, Instance::Source::kDiscovery, {Worker("a")}});
   }
 
@@ -84,7 +84,7 @@
   Reducer& core() { return core_; }
 
  private:
-  Reducer core_{Settings()};
+  Reducer core_;
   Micros now_ = kStart;
   std::vector<Effect> effects_;
 };
@@ -200,6 +200,53 @@
   CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kConnectFailed)] == 1);
 }
 
+TEST_CASE(
+    "whoever leaves takes along what is not handed over, whatever the class and whether cancels are "
+    "allowed") {
+  for (const bool cancels : {true, false}) {
+    for (const std::string klass : {"safe", "keyed", "once"}) {
+      CAPTURE(cancels);
+      CAPTURE(klass);
+      CoreSettings settings = Settings();
+      settings.module.cancel = cancels;
+      Bench b(settings);
+      b.Ask(1, klass);
+      const auto connecting = b.Only<StartExecution>();
+      b.Ask(2, klass);
+      const auto running = b.Only<StartExecution>();
+      b.Tell(ExecutionHandedOver{running.execution});
+      b.Tell(ClientLeft{{ClientRef::Front::kHttp, 1}});
+      CHECK(b.Only<StopExecution>().execution == connecting.execution);
+      CHECK(b.Effects<StartExecution>().empty());
+      b.Tell(ExecutionHandedOver{connecting.execution});  // told too late to be of any use
+      CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kNotSent)] == 1);
+      b.Tell(ClientLeft{{ClientRef::Front::kHttp, 2}});
+      CHECK(b.Effects<StopExecution>().size() == (cancels ? 1 : 0));
+      b.Tell(ExecutionEnded{running.execution, Outcome::kServed, "", {}});
+      CHECK(b.Effects<Answer>().empty());
+      CHECK(b.core().Quiet());
+    }
+  }
+}
+
+TEST_CASE(
+    "a request that is answered takes along what is not handed over, also where cancels are not allowed") {
+  CoreSettings settings = Settings();
+  settings.module.cancel = false;
+  Bench b(settings);
+  b.Ask(1, "once");
+  const auto start = b.Only<StartExecution>();
+  // The module's own deadline timer, while the connection still comes up: its wait is over before the
+  // reducer's.
+  for (const SetTimer& timer : b.Effects<SetTimer>()) {
+    if (timer.key.wait == TimerKey::Wait::kModule) b.Tell(TimerDue{timer.key}, timer.delay);
+    if (!b.Effects<Answer>().empty()) break;
+  }
+  CHECK(b.Effects<Answer>().size() == 1);
+  CHECK(b.Only<StopExecution>().execution == start.execution);
+  CHECK(b.core().Quiet());
+}
+
 TEST_CASE("every nack tells when to come back") {
   Bench b;
   b.News(NameTableNews::Form::kChanges, {Bench::Worker("a", Instance::State::kGone)});
