Judge an execution again when its connection is up, and write nothing before

Cause: `InstanceLink::Start` wrote the request into the bufferevent before it had connected, and libevent sent it the moment the connection was up, however late. A keyed class's window, the deadline and the client were judged only when the send was decided on (`MayTryAgain`, `Do(Send)`), and the timers that bound the wait may ring after the connection's own event.

Change: the link tells `ExecutionConnected` and writes only on `HandOverExecution`, in the same moment instead of the loop's next turn. In between the reducer judges by the time it is then: list, client, deadline, and `Send::start_by`, the module's word for when the window of the earliest attempt that may have run ends (`MayStartUntil`, in the place of `MayTryAgain`'s loop). The wait for the hand-over ends at `start_by` too; it then counts as `not_sent`, as it tells nothing of the instance. `Req-Deadline` says what is left at the hand-over.

instance_link_test's first case needs the link asked to write now; it looks at the moment right after that instead of the end of the loop's turn, the first moment at which bytes can be out, and a new case does so for a request that the kernel takes in pieces.

--- a/include/pulleyrouter/dispatcher.h
+++ b/include/pulleyrouter/dispatcher.h
@@ -161,6 +161,9 @@
   RequestId request{};
   std::string worker;
   Micros give_up_at = 0;  // 0: when the client gives up
+  // Its first byte goes out before then or never, as where earlier attempts may have run and the window in
+  // which a repeat is dropped ends; 0: no limit.
+  Micros start_by = 0;
 };
 struct Cancel {
   RequestId request{};
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -113,6 +113,19 @@
   ForgetIfDone(number);
 }
 
+// A connection may come up long after its execution was decided on, and the timers that bound its wait may
+// ring late: what was judged then is judged again, by the time it is now.
+void Reducer::On(ExecutionConnected&& e) {
+  const auto found = executions_.find(e.execution);
+  if (found == executions_.end() || found->second.handed_over) return;
+  const Execution& x = found->second;
+  const auto known = name_table_.find(x.instance);
+  const bool listed = known != name_table_.end() && MayGetNew(known->second);
+  if (!listed || requests_.at(x.request).answered || now_ >= x.start_by)
+    return End(e.execution, Outcome::kNotSent, "", {}, true);
+  Ask(HandOverExecution{e.execution, x.source, x.give_up_at - now_});
+}
+
 void Reducer::On(ExecutionHandedOver&& e) {
   const auto found = executions_.find(e.execution);
   if (found == executions_.end() || found->second.handed_over) return;
@@ -156,6 +169,9 @@
     return End(number, found->second.handed_over ? Outcome::kTimeout : Outcome::kConnectFailed, "", {}, true);
   }
   if (found->second.handed_over) return;
+  // Cut short by the window of an earlier attempt: that tells nothing of the instance.
+  if (found->second.start_by < found->second.give_up_at && now_ >= found->second.start_by)
+    return End(number, Outcome::kNotSent, "", {}, true);
   // An instance that fetches and did not is busy, not unreachable.
   const bool fetches = found->second.source == Instance::Source::kSession;
   End(number, fetches ? Outcome::kFull : Outcome::kConnectFailed, "", {}, true);
@@ -267,11 +283,12 @@
   ++r.open;
   ++counters_.executions_started;
   const Instance& to = known->second;
-  executions_[number] = Execution{request, attempt, a.worker, to.source, now_, false, 0};
   const Micros until = a.give_up_at > 0 ? std::min(a.give_up_at, r.deadline) : r.deadline;
+  const Micros start_by = a.start_by > 0 ? std::min(a.start_by, until) : until;
+  executions_[number] = Execution{request, attempt, a.worker, to.source, now_, start_by, until, false, 0};
   const bool fetches = to.source == Instance::Source::kSession;
   Ask(SetTimer{{TimerKey::Wait::kHandover, static_cast<std::uint64_t>(number)},
-               fetches ? s_.fetch_patience : s_.dial_timeout});
+               std::clamp<Micros>(start_by - now_, 1, fetches ? s_.fetch_patience : s_.dial_timeout)});
   Ask(SetTimer{{TimerKey::Wait::kGiveUp, static_cast<std::uint64_t>(number)},
                std::max<Micros>(1, until - now_)});
   Ask(StartExecution{number, a.worker, to.address, to.source, r.job, until - now_});
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -47,6 +47,8 @@
     std::string instance;
     Instance::Source source = Instance::Source::kDiscovery;
     Micros sent = 0;
+    Micros start_by = 0;  // no byte goes out from then on
+    Micros give_up_at = 0;
     bool handed_over = false;
     Micros handed_at = 0;
   };
@@ -54,6 +56,7 @@
   void On(RequestTaken&& e);
   void On(RequestTurnedAway&& e);
   void On(ClientLeft&& e);
+  void On(ExecutionConnected&& e);
   void On(ExecutionHandedOver&& e);
   void On(ExecutionProgress&& e);
   void On(ExecutionEnded&& e);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -95,6 +95,9 @@
 struct ClientLeft {
   ClientRef client;
 };
+struct ExecutionConnected {  // the instance can be written to, and nothing has been
+  ExecutionNo execution{};
+};
 struct ExecutionHandedOver {  // the instance has the whole request: it may run from here on
   ExecutionNo execution{};
 };
@@ -141,9 +144,10 @@
   Micros elapsed = 0;
   LoadReport report;
 };
-using Event = std::variant<RequestTaken, RequestTurnedAway, ClientLeft, ExecutionHandedOver,
-                           ExecutionProgress, ExecutionEnded, ExecutionReleased, TimerDue, NameTableNews,
-                           NameTableFailed, NameTableGood, ProbeAnswered, SettingsChanged>;
+using Event =
+    std::variant<RequestTaken, RequestTurnedAway, ClientLeft, ExecutionConnected, ExecutionHandedOver,
+                 ExecutionProgress, ExecutionEnded, ExecutionReleased, TimerDue, NameTableNews,
+                 NameTableFailed, NameTableGood, ProbeAnswered, SettingsChanged>;
 
 // ---- Effects ----
 
@@ -155,6 +159,11 @@
   std::shared_ptr<const Job> job;
   Micros time_left = 0;
 };
+struct HandOverExecution {  // one that has connected: its first byte may go out now, and at no later time
+  ExecutionNo execution{};
+  Instance::Source source = Instance::Source::kDiscovery;
+  Micros time_left = 0;
+};
 struct StopExecution {
   ExecutionNo execution{};
   Instance::Source source = Instance::Source::kDiscovery;
@@ -190,8 +199,8 @@
 struct LogLine {
   std::string text;
 };
-using Effect = std::variant<StartExecution, StopExecution, Answer, SetTimer, ClearTimer, ProbeInstance,
-                            WatchNameTable, LogLine>;
+using Effect = std::variant<StartExecution, HandOverExecution, StopExecution, Answer, SetTimer, ClearTimer,
+                            ProbeInstance, WatchNameTable, LogLine>;
 
 // Takes events in; handed to every front and link, so that none of them knows the reducer or another.
 class EventSink {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -99,6 +99,9 @@
 void Daemon::Do(const StartExecution& e) {
   if (auto* runner = offers_.runners[static_cast<std::size_t>(e.source)]) runner->Start(e);
 }
+void Daemon::Do(const HandOverExecution& e) {
+  if (auto* runner = offers_.runners[static_cast<std::size_t>(e.source)]) runner->HandOver(e);
+}
 void Daemon::Do(const StopExecution& e) {
   if (auto* runner = offers_.runners[static_cast<std::size_t>(e.source)]) runner->Stop(e.execution);
 }
--- a/src/daemon/part.h
+++ b/src/daemon/part.h
@@ -24,6 +24,7 @@
  public:
   virtual ~ExecutionRunner() = default;
   virtual void Start(const StartExecution& start) = 0;
+  virtual void HandOver(const HandOverExecution&) {}  // asked for only of who tells ExecutionConnected
   virtual void Stop(ExecutionNo execution) = 0;
 };
 
--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -71,6 +71,7 @@
   }
 
   void Start(const StartExecution& e) override { instances_->Start(e); }
+  void HandOver(const HandOverExecution& e) override { instances_->HandOver(e); }
   void Stop(ExecutionNo execution) override { instances_->Stop(execution); }
   void Reply(std::uint64_t client, const FinalAnswer& answer) override { clients_->Reply(client, answer); }
 
--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -72,10 +72,21 @@
     return true;
   }
 
-  void Run(ExecutionNo execution, std::string request_id, const std::string& message) {
+  void Run(ExecutionNo execution, std::shared_ptr<const Job> job) {
     execution_ = execution;
-    request_id_ = std::move(request_id);
-    Write(message);
+    job_ = std::move(job);
+  }
+  // In this very moment as far as the kernel takes it, not in the loop's next turn: what was judged must
+  // still hold at the first byte.
+  void HandOver(Micros time_left) {
+    bufferevent* stream = stream_.get();
+    evbuffer* output = bufferevent_get_output(stream);
+    Write(Encode(*job_, address, time_left));
+    bufferevent_incref(stream);  // whoever is told of the hand-over may end this connection
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, bufferevent_getfd(stream));
+    evbuffer_freeze(output, 1);
+    bufferevent_decref(stream);
   }
   void Probe(std::string instance, const std::string& message, ProbeDone done) {
     probe_done_ = std::move(done);
@@ -117,6 +128,8 @@
 
   static void OnEvent(bufferevent*, short what, void* arg) {
     auto* c = static_cast<Connection*>(arg);
+    if ((what & BEV_EVENT_CONNECTED) != 0 && c->execution_)
+      return c->link_->sink_->Tell(ExecutionConnected{*c->execution_});
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
     if ((what & BEV_EVENT_EOF) != 0) {
       c->Parse(nullptr, 0);  // ends an answer framed by the connection's end
@@ -182,7 +195,7 @@
       const std::string_view text(line_.data() + begin, end - begin);
       if (text.find_first_not_of(" \t\r") == std::string_view::npos) continue;
       try {
-        OnLine(DecodeExecutionLine(text, request_id_));
+        OnLine(DecodeExecutionLine(text, job_->id));
       } catch (const BadMessage& e) {
         Log(LogLevel::kWarning, "instance_answer_bad", {{"address", address}, {"what", e.what()}});
         return 1;
@@ -259,7 +272,7 @@
   http_parser parser_;
   std::optional<ExecutionNo> execution_;
   std::optional<std::string> probed_;
-  std::string request_id_;
+  std::shared_ptr<const Job> job_;  // of the execution
   Micros started_ = 0;
   bool handed_over_ = false;  // the request's last byte is the kernel's
   bool settled_ = false;      // its last line has come
@@ -312,7 +325,12 @@
     return;
   }
   busy_[start.execution] = connection;
-  connection->Run(start.execution, start.job->id, Encode(*start.job, start.address, start.time_left));
+  connection->Run(start.execution, start.job);
+}
+
+void InstanceLink::HandOver(const HandOverExecution& hand_over) {
+  const auto found = busy_.find(hand_over.execution);
+  if (found != busy_.end()) found->second->HandOver(hand_over.time_left);
 }
 
 void InstanceLink::Stop(ExecutionNo execution) {
--- a/src/http/instance_link.h
+++ b/src/http/instance_link.h
@@ -24,7 +24,9 @@
   ~InstanceLink();
 
   void Adopt(Micros dial_timeout, int most_connections);
+  // Connects; tells ExecutionConnected, and writes nothing before HandOver.
   void Start(const StartExecution& start);
+  void HandOver(const HandOverExecution& hand_over);
   void Stop(ExecutionNo execution);
   // Tells the sink.
   void Probe(const ProbeInstance& probe);
--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -237,12 +237,13 @@
 
   // Sends to the best worker; without one, the request ends unless an attempt is still out.
   void Dispatch(Request* r) {
-    const int index = MayTryAgain(*r) ? Pick(*r) : kNone;
+    const Micros start_by = MayStartUntil(*r);
+    const int index = now_ < start_by ? Pick(*r) : kNone;
     if (index == kNone) return r->HasOpen() ? void() : Finish(r);
     Worker& w = fleet_.worker(index);
     fleet_.NoteSent(index, r->slots, r->key);
     r->attempts.push_back(Attempt{index, now_});
-    out_->push_back(Send{r->id, w.name, 0});
+    out_->push_back(Send{r->id, w.name, 0, start_by});
     SetTimerIn(static_cast<Micros>(Patience(*r)), kSilenceTimer, r->id);
   }
 
@@ -291,18 +292,19 @@
     w->down_until = now_ + static_cast<Micros>((0.5 + random_.Uniform()) * w->back_off);
   }
 
-  // The ledger of rule 2: whether a further attempt is harmless whatever the earlier ones did.
-  bool MayTryAgain(const Request& r) const {
-    if (r.ended || r.streaming || now_ >= r.deadline) return false;
-    if (std::ssize(r.attempts) >= s_.max_attempts) return false;
+  // The ledger of rule 2: until when a further attempt is harmless whatever the earlier ones did; 0: never.
+  Micros MayStartUntil(const Request& r) const {
+    const ClassSettings& c = Class(r);
+    if (r.ended || r.streaming || std::ssize(r.attempts) >= s_.max_attempts) return 0;
+    Micros until = r.deadline;
     for (const Attempt& a : r.attempts) {
-      if (a.open && !s_.second_copies) return false;
-      if (!a.may_have_run) continue;
-      if (Class(r).repeat == Repeat::kUnsafe) return false;
-      if (Class(r).repeat == Repeat::kKeyed && now_ - a.sent >= Class(r).window) return false;
+      if ((a.open && !s_.second_copies) || (a.may_have_run && c.repeat == Repeat::kUnsafe)) return 0;
+      const bool bound = a.may_have_run && c.repeat == Repeat::kKeyed && c.window < until - a.sent;
+      if (bound) until = a.sent + c.window;
     }
-    return true;
+    return until;
   }
+  bool MayTryAgain(const Request& r) const { return now_ < MayStartUntil(r); }
   bool MayRefuse(const Request& r) const {
     const ClassSettings& c = Class(r);
     return c.repeat == Repeat::kRepeatable || (c.repeat == Repeat::kKeyed && c.scope == KeyScope::kAll) ||
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -56,13 +56,14 @@
     effects_.clear();
     core_.Reduce(now_, std::move(event), &effects_);
   }
-  void Ask(std::uint64_t client, const std::string& klass, const std::string& id = "") {
+  void Ask(std::uint64_t client, const std::string& klass, const std::string& id = "",
+           Micros time_left = kSecond) {
     Job job;
     job.id = id;
     job.guard_repeats = !id.empty();
     job.klass = klass;
     job.tenant = "t";
-    job.time_left = kSecond;
+    job.time_left = time_left;
     Tell(RequestTaken{{ClientRef::Front::kHttp, client}, job});
   }
   void News(NameTableNews::Form form, std::vector<Instance> instances) {
@@ -247,6 +248,82 @@
   CHECK(b.core().Quiet());
 }
 
+TEST_CASE(
+    "what was judged at the send is judged again when the connection is up, however late a timer rings") {
+  Bench b;
+  SUBCASE("in time it is handed over, with the time that is left by then") {
+    b.Ask(1, "once");
+    const auto start = b.Only<StartExecution>();
+    b.Tell(ExecutionConnected{start.execution}, 200 * kMillisecond);
+    CHECK(b.Only<HandOverExecution>().execution == start.execution);
+    CHECK(b.Only<HandOverExecution>().time_left == 780 * kMillisecond);
+  }
+  SUBCASE("past the deadline") {
+    b.Ask(1, "safe", "", 300 * kMillisecond);
+    const auto start = b.Only<StartExecution>();
+    SUBCASE("the last moment") {
+      b.Tell(ExecutionConnected{start.execution}, 280 * kMillisecond - 1);
+      CHECK(b.Only<HandOverExecution>().time_left == 1);
+    }
+    SUBCASE("too late") {
+      b.Tell(ExecutionConnected{start.execution}, 280 * kMillisecond);
+      CHECK(b.Effects<HandOverExecution>().empty());
+      CHECK(b.Only<StopExecution>().execution == start.execution);
+      CHECK(b.Effects<Answer>().size() == 1);
+      CHECK(b.core().Quiet());
+    }
+  }
+  SUBCASE("where the list is too old by then") {
+    b.Ask(1, "safe");
+    b.Tell(NameTableGood{200 * kMillisecond});
+    b.Tell(ExecutionConnected{ExecutionNo{1}}, 200 * kMillisecond);
+    CHECK(b.Effects<HandOverExecution>().empty());
+    CHECK(b.Only<StopExecution>().execution == ExecutionNo{1});
+  }
+  SUBCASE("where the instance drains, or whoever asked has left, nothing is left to be judged") {
+    b.Ask(1, "safe");
+    b.Ask(2, "safe");
+    b.Tell(ClientLeft{{ClientRef::Front::kHttp, 1}});
+    b.News(NameTableNews::Form::kChanges, {Bench::Worker("a", Instance::State::kDraining)});
+    for (const ExecutionNo number : {ExecutionNo{1}, ExecutionNo{2}}) {
+      b.Tell(ExecutionConnected{number});
+      CHECK(b.Effects<HandOverExecution>().empty());
+    }
+  }
+}
+
+TEST_CASE("a keyed request that may have run begins again within the window of its first attempt, or never") {
+  CoreSettings settings = Settings();
+  settings.module.classes[1].window = 100 * kMillisecond;  // shorter than a dial
+  Bench b(settings);
+  b.News(NameTableNews::Form::kChanges, {Bench::Worker("b")});
+  b.Ask(1, "keyed");
+  const auto first = b.Only<StartExecution>();
+  b.Tell(ExecutionConnected{first.execution});
+  b.Tell(ExecutionHandedOver{first.execution});
+  b.Tell(ExecutionEnded{first.execution, Outcome::kLost, "", {}}, 58 * kMillisecond);
+  const auto second = b.Only<StartExecution>();  // 60 ms after the first was decided on
+  const TimerKey wait{TimerKey::Wait::kHandover, static_cast<std::uint64_t>(second.execution)};
+  Micros delay = 0;
+  for (const SetTimer& timer : b.Effects<SetTimer>()) delay = timer.key == wait ? timer.delay : delay;
+  CHECK(delay == 40 * kMillisecond);
+  SUBCASE("the last moment") {
+    b.Tell(ExecutionConnected{second.execution}, delay - 1);
+    CHECK(b.Only<HandOverExecution>().execution == second.execution);
+  }
+  SUBCASE("too late") {
+    SUBCASE("by the timer") { b.Tell(TimerDue{wait}, delay); }
+    SUBCASE("before the timer, which rings late") { b.Tell(ExecutionConnected{second.execution}, delay); }
+    CHECK(b.Effects<HandOverExecution>().empty());
+    CHECK(b.Only<StopExecution>().execution == second.execution);
+    CHECK(b.Effects<StartExecution>().empty());
+    // Its repeats are dropped wherever they come.
+    CHECK(std::holds_alternative<Nack>(b.Only<Answer>().answer));
+    CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kNotSent)] == 1);
+    CHECK(b.core().Quiet());
+  }
+}
+
 TEST_CASE("every nack tells when to come back") {
   Bench b;
   b.News(NameTableNews::Form::kChanges, {Bench::Worker("a", Instance::State::kGone)});
--- a/tests/daemon/instance_link_test.cpp
+++ b/tests/daemon/instance_link_test.cpp
@@ -42,7 +42,12 @@
   Scene() : base_(event_base_new()), link(base_.get(), kSecond, 8, this), listener_(Listen()) {}
 
   void Tell(Event event) override {
-    if (std::holds_alternative<ExecutionHandedOver>(event)) {
+    if (std::holds_alternative<ExecutionConnected>(event)) {
+      ++connected;
+      if (!hand_over) return;
+      link.HandOver({kExecution, Instance::Source::kDiscovery, kSecond});
+      if (once_written) once_written();
+    } else if (std::holds_alternative<ExecutionHandedOver>(event)) {
       ++handed_over;
       if (stop_when_told) link.Stop(kExecution);
     } else {
@@ -50,13 +55,13 @@
     }
   }
 
-  // Returns once the kernel has connected the two, so that the stream writes in the loop's next turn.
-  void Start() {
+  // Returns once the kernel has connected the two, so that the link hears of it in the loop's next turn.
+  void Start(const std::string& body = "last") {
     auto job = std::make_shared<Job>();
     job->id = "id";
     job->klass = "cobro";
     job->target = "/";
-    job->body = "last";
+    job->body = body;
     link.Start({kExecution, "w", "127.0.0.1:" + std::to_string(PortOf(listener_.fd())), {}, job, kSecond});
     REQUIRE(listener_.WaitReadable());
   }
@@ -96,6 +101,9 @@
  public:
   InstanceLink link;
   bool stop_when_told = false;
+  bool hand_over = true;               // at once, as a core that has nothing against it
+  std::function<void()> once_written;  // called as soon as the link has been asked to write
+  int connected = 0;
   int handed_over = 0;
   int others = 0;
 
@@ -119,17 +127,88 @@
   scene.Start();
   std::string seen;
   int told = 0;
-  scene.Turn([&] {
+  scene.once_written = [&] {
     const Socket peer(scene.Accept());
     seen = Peek(peer);
     told = scene.handed_over;
-  });
+  };
+  scene.Turn([] {});
   REQUIRE(IsWhole(seen));
   CHECK(told == 1);
   scene.Turn([] {});
   CHECK(scene.handed_over == 1);
 }
 
+TEST_CASE("a request that the kernel takes in pieces is told as handed over with its last one, not before") {
+  Scene scene;
+  const std::string body(std::size_t{16} << 20, 'x');  // more than both ends' buffers hold
+  scene.Start(body);
+  const Socket peer(scene.Accept());
+  scene.Turn([] {});
+  CHECK(scene.handed_over == 0);
+  std::size_t head = 0, seen = 0, turns = 0;
+  const auto is_whole = [&] { return head > 0 && seen == head + body.size(); };
+  for (; !is_whole() && turns < 100'000; ++turns) {
+    scene.Turn([&] {  // right after the stream has written, before its callbacks
+      std::string bytes(std::size_t{1} << 20, 0);
+      ssize_t size = 0;
+      while ((size = recv(peer.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT)) > 0) {
+        if (head == 0) head = bytes.find("\r\n\r\n") + 4;
+        seen += static_cast<std::size_t>(size);
+      }
+      CHECK(scene.handed_over == (is_whole() ? 1 : 0));
+    });
+  }
+  REQUIRE(is_whole());
+  CHECK(scene.others == 0);
+}
+
+TEST_CASE(
+    "a connection that has come up sends nothing until it is handed over, and nothing if it is stopped") {
+  Scene scene;
+  scene.hand_over = false;
+  scene.Start();
+  const Socket peer(scene.Accept());
+  for (int i = 0; i < 5; ++i) scene.Turn([] {});
+  REQUIRE(scene.connected == 1);
+  char byte = 0;
+  CHECK(recv(peer.fd(), &byte, 1, MSG_DONTWAIT) == -1);
+  SUBCASE("handed over") {
+    scene.link.HandOver({kExecution, Instance::Source::kDiscovery, 123'456});
+    const std::string seen = Peek(peer);
+    CHECK(IsWhole(seen));
+    CHECK(seen.find("\r\nReq-Deadline: 123456u\r\n") != std::string::npos);  // what is left by then
+    CHECK(scene.handed_over == 1);
+  }
+  SUBCASE("stopped") {
+    scene.link.Stop(kExecution);
+    for (int i = 0; i < 3; ++i) scene.Turn([] {});
+    CHECK(Peek(peer).empty());
+    CHECK(scene.handed_over + scene.others == 0);
+  }
+}
+
+TEST_CASE("an execution stopped with a part of its request written never lets its last byte go") {
+  Scene scene;
+  const std::string body(std::size_t{16} << 20, 'x');
+  scene.Start(body);
+  const Socket peer(scene.Accept());
+  for (int i = 0; i < 3; ++i) scene.Turn([] {});
+  REQUIRE(scene.handed_over == 0);
+  scene.link.Stop(kExecution);
+  for (int i = 0; i < 3; ++i) scene.Turn([] {});
+  std::string bytes(std::size_t{1} << 20, 0);
+  std::size_t seen = 0;
+  while (peer.WaitReadable()) {
+    const ssize_t size = recv(peer.fd(), bytes.data(), bytes.size(), 0);
+    if (size <= 0) break;
+    seen += static_cast<std::size_t>(size);
+  }
+  CHECK(seen > 0);
+  CHECK(seen < body.size());
+  CHECK(scene.handed_over + scene.others == 0);
+}
+
 TEST_CASE("an execution stopped before its hand-over sends no byte") {
   Scene scene;
   scene.Start();
