Take an answer by its first last line, whatever follows and however it ends

Cause: `InstanceLink::Connection::OnRead` looked at the parser's error before `settled_`: a `done` line followed in the same read by bytes that break the framing (a second answer, garbage) was an error, and the job failed or ran again. And a last line without its line's end, at the end of a whole answer or before the connection's, was left in `line_`: lost.

PROTOCOL.md: one JSON object per line, up to a last one; lost is what breaks or ends before the last line. No part of a JSON object is itself one, so a last line that can be read came whole; one that cannot was cut and stays lost.

Also: each byte of a line that came alone had the whole line searched again.

--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -121,8 +121,9 @@
     const std::size_t size = evbuffer_get_length(input);
     c->Parse(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size);
     evbuffer_drain(input, size);
-    if (!c->whole_ && HTTP_PARSER_ERRNO(&c->parser_) != HPE_OK) return c->Break(Outcome::kError);
+    // The answer first: what follows its last line in the same read is no part of it, however it is framed.
     if (c->whole_ || c->settled_) return c->Settle();
+    if (HTTP_PARSER_ERRNO(&c->parser_) != HPE_OK) return c->Break(Outcome::kError);
     c->TellProgress();
   }
 
@@ -135,6 +136,7 @@
       c->Parse(nullptr, 0);  // ends an answer framed by the connection's end
       if (c->whole_ && (c->execution_ || c->probed_)) return c->Settle();
     }
+    if (c->HasLastLine()) return c->Settle();
     // Broken before the request's last byte was written: it cannot have run.
     c->Break(c->handed_over_ ? Outcome::kLost : Outcome::kConnectFailed);
   }
@@ -186,12 +188,13 @@
 
   int OnBody(const char* at, std::size_t size) {
     if (settled_) return 0;
+    std::size_t look = line_.size();  // what came before has no line's end: not to be searched with each byte
     line_.append(at, size);
     if (line_.size() > kMostLine * 2) return 1;
     if (probed_ || parser_.status_code != 200) return 0;
     std::size_t begin = 0;
-    for (std::size_t end; !settled_ && (end = line_.find('\n', begin)) != std::string::npos;
-         begin = end + 1) {
+    for (std::size_t end; !settled_ && (end = line_.find('\n', look)) != std::string::npos;
+         begin = look = end + 1) {
       const std::string_view text(line_.data() + begin, end - begin);
       if (text.find_first_not_of(" \t\r") == std::string_view::npos) continue;
       try {
@@ -219,11 +222,22 @@
     settled_ = true;
   }
 
+  // Once no more comes: whether the last line has come, maybe without its line's end. No part of an object is
+  // one itself, so what can be read is whole; what cannot was cut.
+  bool HasLastLine() {
+    if (settled_ || !execution_ || parser_.status_code != 200) return settled_;
+    try {
+      OnLine(DecodeExecutionLine(line_, job_->id));
+    } catch (const BadMessage&) {
+    }
+    return settled_;
+  }
+
   // The last line, or all of the answer, has come. The connection is closed before the core hears of it, so
   // that a resend finds room.
   void Settle() {
     ExecutionEnded ended;
-    if (settled_) {
+    if (HasLastLine()) {
       ended = std::move(last_);
     } else if (parser_.status_code == 200) {
       ended.outcome = probed_ ? Outcome::kServed : Outcome::kLost;  // it ended before its last line
--- a/tests/daemon/instance_link_test.cpp
+++ b/tests/daemon/instance_link_test.cpp
@@ -4,14 +4,18 @@
 #include "http/instance_link.h"
 
 #include <doctest/doctest.h>
+#include <malloc.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 namespace aldersill {
@@ -25,7 +29,10 @@
   explicit Socket(int fd) : fd_(fd) {}
   Socket(const Socket&) = delete;
   Socket& operator=(const Socket&) = delete;
-  ~Socket() { close(fd_); }
+  ~Socket() { Close(); }
+  void Close() {
+    if (fd_ >= 0) close(std::exchange(fd_, -1));
+  }
   int fd() const { return fd_; }
   bool WaitReadable() const {
     pollfd p{fd_, POLLIN, 0};
@@ -33,7 +40,7 @@
   }
 
  private:
-  const int fd_;
+  int fd_;
 };
 
 // A link on a loop of its own, an instance that only listens, and what the link told.
@@ -52,6 +59,7 @@
       if (stop_when_told) link.Stop(kExecution);
     } else {
       ++others;
+      if (auto* one = std::get_if<ExecutionEnded>(&event)) ended = std::move(*one);
     }
   }
 
@@ -87,6 +95,18 @@
     event_base_loop(base_.get(), EVLOOP_NONBLOCK);
   }
 
+  // Lets the loop run until the execution has ended; false if it does not.
+  bool TurnsUntilEnded() {
+    const timeval wait{kWaitMs / 1000, 0};
+    bool over = false;
+    const EventPtr<event> timer(event_new(
+        base_.get(), -1, 0, [](evutil_socket_t, short, void* flag) { *static_cast<bool*>(flag) = true; },
+        &over));
+    evtimer_add(timer.get(), &wait);
+    while (!ended && !over) event_base_loop(base_.get(), EVLOOP_ONCE);
+    return ended.has_value();
+  }
+
  private:
   static int Listen() {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -106,6 +126,7 @@
   int connected = 0;
   int handed_over = 0;
   int others = 0;
+  std::optional<ExecutionEnded> ended;
 
  private:
   Socket listener_;
@@ -188,6 +209,17 @@
   }
 }
 
+TEST_CASE("a connection that breaks before the request's last byte is written could not connect") {
+  Scene scene;
+  scene.Start(std::string(std::size_t{16} << 20, 'x'));
+  Socket peer(scene.Accept());
+  for (int i = 0; i < 3; ++i) scene.Turn([] {});
+  REQUIRE(scene.handed_over == 0);
+  peer.Close();
+  REQUIRE(scene.TurnsUntilEnded());
+  CHECK(scene.ended->outcome == Outcome::kConnectFailed);
+}
+
 TEST_CASE("an execution stopped with a part of its request written never lets its last byte go") {
   Scene scene;
   const std::string body(std::size_t{16} << 20, 'x');
@@ -230,5 +262,119 @@
   CHECK(scene.others == 0);
 }
 
+// What the instance writes after it has read the request, and how it ends the connection, if it does.
+struct AnswerCase {
+  std::string what;
+  std::string bytes;
+  enum class Then { kNothing, kClose, kReset } then;
+  Outcome outcome;
+};
+
+std::string Chunk(const std::string& text) {
+  char size[32];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+TEST_CASE("an answer is its first last line: nothing before it counts as one, and nothing after it is read") {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string until_end = "HTTP/1.1 200 OK\r\n\r\n";
+  const std::string done = R"({"id":"id","state":"done","result":"r"})";
+  const std::string other = R"({"id":"other","state":"done","result":"x"})";
+  const std::string failed = R"({"id":"id","state":"failed"})";
+  const std::string returned = R"({"id":"id","state":"returned"})";
+  const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(done.size()) + "\r\n\r\n";
+  using Then = AnswerCase::Then;
+  const AnswerCase cases[] = {
+      {"whole", chunked + Chunk(done + "\n") + "0\r\n\r\n", Then::kNothing, Outcome::kServed},
+      {"its framing not ended", chunked + Chunk(done + "\n"), Then::kNothing, Outcome::kServed},
+      {"garbage in the place of the next chunk", chunked + Chunk(done + "\n") + "no chunk", Then::kNothing,
+       Outcome::kServed},
+      {"a second answer behind it", chunked + Chunk(done + "\n") + until_end + failed + "\n", Then::kNothing,
+       Outcome::kServed},
+      {"a second last line", chunked + Chunk(done + "\n" + failed + "\n"), Then::kNothing, Outcome::kServed},
+      {"another request's line behind it", chunked + Chunk(done + "\n") + Chunk(other + "\n"), Then::kNothing,
+       Outcome::kServed},
+      {"another request's line before it", chunked + Chunk(other + "\n") + Chunk(done + "\n"), Then::kNothing,
+       Outcome::kError},
+      {"no line's end, sized", sized + done, Then::kNothing, Outcome::kServed},
+      {"no line's end, chunked", chunked + Chunk(done) + "0\r\n\r\n", Then::kNothing, Outcome::kServed},
+      {"no line's end, closed", until_end + done, Then::kClose, Outcome::kServed},
+      {"no line's end, closed within the framing", chunked + Chunk(done), Then::kClose, Outcome::kServed},
+      {"no line's end, handed back", chunked + Chunk(returned) + "0\r\n\r\n", Then::kNothing, Outcome::kFull},
+      {"cut before the last line",
+       chunked + Chunk(R"({"id":"id","state":"running"})"
+                       "\n"),
+       Then::kClose, Outcome::kLost},
+      {"cut in the last line", chunked + "40\r\n" + done.substr(0, done.size() - 1), Then::kClose,
+       Outcome::kLost},
+      {"cut in the last line, with its framing ended",
+       chunked + Chunk(done.substr(0, done.size() - 1)) + "0\r\n\r\n", Then::kNothing, Outcome::kLost},
+      {"reset in the last line", chunked + "40\r\n" + done.substr(0, 10), Then::kReset, Outcome::kLost},
+      {"reset before any", "", Then::kReset, Outcome::kLost},
+      {"closed before any", "", Then::kClose, Outcome::kLost},
+      {"half a head", chunked.substr(0, 20), Then::kClose, Outcome::kLost},
+      {"another's at its end", chunked + Chunk(other) + "0\r\n\r\n", Then::kNothing, Outcome::kLost},
+      {"no HTTP", "hello\r\n\r\n", Then::kNothing, Outcome::kError},
+      {"a line without end", chunked + Chunk(std::string(200'000, 'x')), Then::kNothing, Outcome::kError},
+      {"a head without end", "HTTP/1.1 200 OK\r\nX: " + std::string(200'000, 'x'), Then::kNothing,
+       Outcome::kError},
+      {"a chunk's extension without end", chunked + "1;" + std::string(200'000, 'x'), Then::kNothing,
+       Outcome::kError},
+      {"an error's body without end", "HTTP/1.1 500 No\r\n\r\n" + std::string(200'000, 'x'), Then::kNothing,
+       Outcome::kError},
+  };
+  for (const AnswerCase& c : cases) {
+    CAPTURE(c.what);
+    Scene scene;
+    scene.Start();
+    Socket peer(scene.Accept());
+    while (scene.handed_over == 0) scene.Turn([] {});
+    REQUIRE(IsWhole(Peek(peer)));
+    if (c.then != AnswerCase::Then::kReset) {  // else the request is left unread, and closing resets
+      char bytes[4096];
+      REQUIRE(recv(peer.fd(), bytes, sizeof(bytes), 0) > 0);
+    }
+    for (std::size_t sent = 0; sent < c.bytes.size() && !scene.ended;) {
+      const ssize_t n =
+          send(peer.fd(), c.bytes.data() + sent, c.bytes.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (n > 0) sent += static_cast<std::size_t>(n);
+      if (sent < c.bytes.size()) scene.Turn([] {});
+    }
+    if (c.then != AnswerCase::Then::kNothing) peer.Close();
+    REQUIRE(scene.TurnsUntilEnded());
+    CHECK(scene.ended->outcome == c.outcome);
+    CHECK(scene.ended->result == std::string(c.outcome == Outcome::kServed ? "r" : ""));
+  }
+}
+
+TEST_CASE("an answer that never ends holds no more than a line, and ends when the execution is given up") {
+  const std::string endless[] = {"{\"id\":\"id\",\"state\":\"running\",\"share\":0.5}\n", "\n", " \r\n"};
+  for (const std::string& line : endless) {
+    CAPTURE(line);
+    Scene scene;
+    scene.Start();
+    const Socket peer(scene.Accept());
+    while (scene.handed_over == 0) scene.Turn([] {});
+    std::string bytes = "HTTP/1.1 200 OK\r\n\r\n";
+    while (bytes.size() < (std::size_t{4} << 20)) bytes += line;
+    const std::size_t before = mallinfo2().uordblks;
+    std::size_t most = 0;
+    for (std::size_t sent = 0; sent < bytes.size();) {
+      const ssize_t n =
+          send(peer.fd(), bytes.data() + sent, bytes.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (n > 0) sent += static_cast<std::size_t>(n);
+      scene.Turn([] {});
+      most = std::max(most, mallinfo2().uordblks);
+    }
+    CHECK(most < before + (std::size_t{1} << 20));
+    CHECK_FALSE(scene.ended);
+    scene.link.Stop(kExecution);
+    for (int i = 0; i < 3; ++i) scene.Turn([] {});
+    CHECK(peer.WaitReadable());  // its end
+    CHECK_FALSE(scene.ended);
+  }
+}
+
 }  // namespace
 }  // namespace aldersill
