Test in one table which ends of an execution let a class go again

Each end (refused, never up, drain, list too old, late, answered too soon, turned away, failed, cut, given up on) for a safe, a keyed and an unsafe class: an unsafe one goes again only where no byte can have run, and what may still go on is stopped before anything else begins. No fault found by it.

--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -324,6 +324,84 @@
   }
 }
 
+TEST_CASE("a class that must not be repeated goes again only where no byte can have run") {
+  enum class How {
+    kEnded,     // the link tells the outcome
+    kHandover,  // not handed over in time
+    kGiveUp,    // no answer in time
+    kDrain,     // news
+    kDistrust,  // the list is too old
+    kLate,      // connected after its time
+  };
+  struct {
+    std::string what;
+    bool handed_over;
+    How how;
+    Outcome outcome;  // told for kEnded, counted for all
+    bool never_ran;
+  } const kEnds[] = {
+      {"refused, or broken before the last byte", false, How::kEnded, Outcome::kConnectFailed, true},
+      {"never up", false, How::kHandover, Outcome::kConnectFailed, true},
+      {"told to drain before the last byte", false, How::kDrain, Outcome::kNotSent, true},
+      {"an answer before the last byte: nobody knows what it is to", false, How::kEnded, Outcome::kError,
+       false},
+      {"turned away or handed back", true, How::kEnded, Outcome::kFull, true},
+      {"failed", true, How::kEnded, Outcome::kError, false},
+      {"cut, reset or killed", true, How::kEnded, Outcome::kLost, false},
+      // After these there is no time, or nobody, left to try.
+      {"given up on unsent", false, How::kGiveUp, Outcome::kConnectFailed, true},
+      {"up after its time", false, How::kLate, Outcome::kNotSent, true},
+      {"no list before the last byte", false, How::kDistrust, Outcome::kNotSent, true},
+      {"given up on", true, How::kGiveUp, Outcome::kTimeout, false},
+  };
+  for (const auto& end : kEnds) {
+    for (const std::string klass : {"safe", "keyed", "once"}) {
+      CAPTURE(end.what);
+      CAPTURE(klass);
+      Bench b;
+      b.News(NameTableNews::Form::kChanges, {Bench::Worker("b")});
+      b.Ask(1, klass);
+      const auto start = b.Only<StartExecution>();
+      const auto number = static_cast<std::uint64_t>(start.execution);
+      if (end.handed_over) {
+        b.Tell(ExecutionConnected{start.execution});
+        CHECK(b.Only<HandOverExecution>().execution == start.execution);
+        b.Tell(ExecutionHandedOver{start.execution});
+      }
+      const bool over = end.how == How::kGiveUp || end.how == How::kLate || end.how == How::kDistrust;
+      switch (end.how) {
+        case How::kEnded:
+          b.Tell(ExecutionEnded{start.execution, end.outcome, "", {}});
+          break;
+        case How::kHandover:
+          b.Tell(TimerDue{{TimerKey::Wait::kHandover, number}}, 250 * kMillisecond);
+          break;
+        case How::kGiveUp:
+          b.Tell(TimerDue{{TimerKey::Wait::kGiveUp, number}}, kSecond);
+          break;
+        case How::kDrain:
+          b.News(NameTableNews::Form::kChanges, {Bench::Worker(start.instance, Instance::State::kDraining)});
+          break;
+        case How::kDistrust:
+          b.Tell(NameTableGood{0});
+          break;
+        case How::kLate:
+          b.Tell(ExecutionConnected{start.execution}, kSecond);
+          break;
+      }
+      CHECK(b.core().counters().executions[static_cast<std::size_t>(end.outcome)] == 1);
+      // Whatever may still go on at the instance is ended before anything else begins.
+      CHECK(b.Effects<StopExecution>().size() == (end.how == How::kEnded ? 0 : 1));
+      const bool again = !over && (end.never_ran || klass != "once");
+      REQUIRE(b.Effects<StartExecution>().size() == (again ? 1 : 0));
+      if (again) continue;
+      const auto answer = b.Only<Answer>().answer;
+      CHECK(std::holds_alternative<Nack>(answer) == (end.never_ran || klass != "once"));
+      CHECK(b.core().Quiet());
+    }
+  }
+}
+
 TEST_CASE("every nack tells when to come back") {
   Bench b;
   b.News(NameTableNews::Form::kChanges, {Bench::Worker("a", Instance::State::kGone)});
