Count an execution called off before its last byte is out as one that never ran

Cause: `Do(pulleyrouter::Cancel)` ended any execution as `cancelled`, which the module takes for one that may have run, also where the connection had not even come up (a dial longer than the module's patience). A keyed request's window was then counted from it, its repeats were bound to that worker's zone or cell, and it paid for its next attempt.

Change: `not_sent` where it is not handed over. Unsafe classes are never called off, before as after.

Without it, core_test: core_test.cpp:368: ERROR: CHECK( ...executions[static_cast<std::size_t>(Outcome::kNotSent)] == 1 ) values: CHECK( 0 == 1 ) core_test.cpp:373: ERROR: CHECK( b.Effects<StartExecution>().size() == 1 ) values: CHECK( 0 == 1 )

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -297,7 +297,10 @@
 void Reducer::Do(const pulleyrouter::Cancel& a) {
   const auto found = requests_.find(static_cast<std::uint64_t>(a.request));
   if (found == requests_.end() || a.attempt < 0 || a.attempt >= std::ssize(found->second.executions)) return;
-  End(found->second.executions[a.attempt], Outcome::kCancelled, "", {}, true);
+  const ExecutionNo number = found->second.executions[a.attempt];
+  const auto x = executions_.find(number);
+  if (x == executions_.end()) return;
+  End(number, x->second.handed_over ? Outcome::kCancelled : Outcome::kNotSent, "", {}, true);
 }
 
 void Reducer::Do(const pulleyrouter::Refuse& a) {
@@ -372,8 +375,7 @@
     still_out_.emplace(number, r.job->id);
   }
   --r.open;
-  const bool ran = MayHaveRun(outcome) && (outcome != Outcome::kCancelled || x.handed_over);
-  if (ran && r.first_run == 0) r.first_run = x.handed_over ? x.handed_at : now_;
+  if (MayHaveRun(outcome) && r.first_run == 0) r.first_run = x.handed_over ? x.handed_at : now_;
   if (outcome == Outcome::kServed && !r.answered) {
     counters_.classes[r.counter].served_ms += static_cast<std::uint64_t>((now_ - r.taken) / kMillisecond);
     Finish(x.request, Served{std::move(result)});
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -324,6 +324,30 @@
   }
 }
 
+TEST_CASE("an execution that is called off before its last byte is out never ran") {
+  CoreSettings settings = Settings();
+  settings.module.classes[1].window = 2 * kSecond;
+  settings.dial_timeout = 4 * kSecond;  // longer than the module waits for a sign of life
+  Bench b(settings);
+  b.News(NameTableNews::Form::kChanges, {Bench::Worker("b")});
+  b.Ask(1, "keyed", "", 5 * kSecond);
+  const auto first = b.Only<StartExecution>();
+  Micros waited = 0;
+  for (const SetTimer& timer : b.Effects<SetTimer>()) {
+    if (timer.key.wait != TimerKey::Wait::kModule || timer.delay >= 4 * kSecond || waited > 0) continue;
+    b.Tell(TimerDue{timer.key}, timer.delay);
+    waited = b.Effects<StopExecution>().empty() ? 0 : timer.delay;
+  }
+  REQUIRE(waited > kSecond);
+  CHECK(b.Only<StopExecution>().execution == first.execution);
+  CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kNotSent)] == 1);
+  const auto second = b.Only<StartExecution>();
+  b.Tell(ExecutionHandedOver{second.execution});
+  // The window is counted from the second, the first that may have run.
+  b.Tell(ExecutionEnded{second.execution, Outcome::kLost, "", {}}, 2 * kSecond - 2 * kMillisecond);
+  CHECK(b.Effects<StartExecution>().size() == 1);
+}
+
 TEST_CASE("a class that must not be repeated goes again only where no byte can have run") {
   enum class How {
     kEnded,     // the link tells the outcome
