Hold a job's own repeat to its window when it begins, not only when it is taken

Cause: `RepeatGuard::Judge` is asked when a job of a known id (a jid) is taken; a keyed one may then wait for its tokens and its connection past the window of the run before. `Reducer` now keeps `RepeatGuard::MayStartUntil` with the request and holds each execution to it, at the send and at the first byte; one too late is answered as if it had come then.

Not covered: a parked FETCH that comes in the same turn of the loop as the timer that ends its wait.

Without it, core_test: core_test.cpp:501: ERROR: CHECK( b.Effects<HandOverExecution>().empty() ) is NOT correct!

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -92,6 +92,7 @@
   // Nobody waits longer than its class allows, whatever it says: such a request would sit on what others
   // need.
   r.deadline = now_ + std::min(e.job.time_left, c.deadline) - margin;
+  r.start_by = e.job.guard_repeats ? repeats_.MayStartUntil(e.job.id, c) : RepeatGuard::kNever;
   if (e.job.guard_repeats) repeats_.Begin(e.job.id);
   r.job = std::make_shared<const Job>(std::move(e.job));
   by_client_[r.client] = number;
@@ -275,16 +276,17 @@
   r.executions.push_back(number);
   const auto known = name_table_.find(a.worker);
   const bool listed = known != name_table_.end() && MayGetNew(known->second);
+  if (now_ >= r.start_by) Finish(request, Failure{Failure::Why::kRepeat});
   if (!listed || r.answered || now_ >= r.deadline) {
     // The module's own list cannot differ from ours; were it to, nothing may be sent on its word.
     TellModuleOf(r, pulleyrouter::AttemptEnded{a.request, attempt, Outcome::kNotSent, r.answered, 0, {}});
-    return;
+    return ForgetIfDone(request);
   }
   ++r.open;
   ++counters_.executions_started;
   const Instance& to = known->second;
   const Micros until = a.give_up_at > 0 ? std::min(a.give_up_at, r.deadline) : r.deadline;
-  const Micros start_by = a.start_by > 0 ? std::min(a.start_by, until) : until;
+  const Micros start_by = std::min(a.start_by > 0 ? std::min(a.start_by, until) : until, r.start_by);
   executions_[number] = Execution{request, attempt, a.worker, to.source, now_, start_by, until, false, 0};
   const bool fetches = to.source == Instance::Source::kSession;
   Ask(SetTimer{{TimerKey::Wait::kHandover, static_cast<std::uint64_t>(number)},
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -36,6 +36,7 @@
     int counter = 0;           // of its class, in counters_.classes
     Micros taken = 0;
     Micros deadline = 0;
+    Micros start_by = 0;  // of a repeat: the window of the run before, known by the job's own id
     Micros first_run = 0;  // hand-over of the first execution that may have run
     bool answered = false;
     std::vector<ExecutionNo> executions;  // by attempt number
--- a/src/core/repeat_guard.h
+++ b/src/core/repeat_guard.h
@@ -4,6 +4,7 @@
 #define ALDERSILL_SRC_CORE_REPEAT_GUARD_H_
 
 #include <deque>
+#include <limits>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -17,6 +18,7 @@
   explicit RepeatGuard(std::size_t most = 50'000) : most_(most) {}
 
   enum class Verdict { kAdmit, kNotNow, kNever };
+  static constexpr Micros kNever = std::numeric_limits<Micros>::max();
 
   // Whether a job of this id may be taken now.
   Verdict Judge(const std::string& id, const pulleyrouter::ClassSettings& klass, Micros now) const {
@@ -29,6 +31,14 @@
       return Verdict::kNever;
     return e.still_out > 0 ? Verdict::kNotNow : Verdict::kAdmit;
   }
+  // Until when one that may be taken now may begin to run: what is taken may wait.
+  Micros MayStartUntil(const std::string& id, const pulleyrouter::ClassSettings& klass) const {
+    const auto found = jobs_.find(id);
+    const bool bound =
+        found != jobs_.end() && found->second.first_run != 0 && klass.repeat == pulleyrouter::Repeat::kKeyed;
+    return bound && klass.window < kNever - found->second.first_run ? found->second.first_run + klass.window
+                                                                    : kNever;
+  }
   void Begin(const std::string& id) {
     Entry& e = jobs_[id];
     e.in_progress = true;
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -456,6 +456,31 @@
   CHECK_FALSE(run(7, "keyed", "z"));
 }
 
+TEST_CASE(
+    "a repeat by a job's own id begins within the window of the run before, however long it waits here") {
+  CoreSettings settings = Settings();
+  settings.dial_timeout = 2 * kSecond;
+  Bench b(settings);
+  b.Ask(1, "keyed", "z");
+  const auto first = b.Only<StartExecution>();
+  b.Tell(ExecutionHandedOver{first.execution});
+  b.Tell(ExecutionEnded{first.execution, Outcome::kServed, "", {}});
+  b.Ask(2, "keyed", "z", 3 * kSecond);  // 2 ms into a window of a second
+  const auto second = b.Only<StartExecution>();
+  SUBCASE("the last moment") {
+    b.Tell(ExecutionConnected{second.execution}, 998 * kMillisecond - 1);
+    CHECK(b.Effects<HandOverExecution>().size() == 1);
+  }
+  SUBCASE("too late") {
+    b.Tell(ExecutionConnected{second.execution}, 998 * kMillisecond);
+    CHECK(b.Effects<HandOverExecution>().empty());
+    CHECK(b.Only<StopExecution>().execution == second.execution);
+    CHECK(b.Effects<StartExecution>().empty());
+    CHECK(std::get<Failure>(b.Only<Answer>().answer).why == Failure::Why::kRepeat);  // as if it had come then
+    CHECK(b.core().Quiet());
+  }
+}
+
 TEST_CASE("a job given up on at a worker that cannot be stopped is not taken again while it is out there") {
   Bench b;
   b.News(NameTableNews::Form::kWhole, {});
