Take a hand-over for one also where the list becomes too old just then

Cause: `Reducer::Reduce` runs `Distrust` before the event once `good_until_` is over, and `Distrust` withdraws what is not handed over. Where the event was `ExecutionHandedOver` itself, the timer being a little late, the execution was withdrawn as one that never ran with its whole request in the kernel: an unsafe job was answered 503 and could come again.

Ruled out: news and timers of other kinds; they come as events of their own, after the hand-over that is told from within the write.

Change: a hand-over is noted before the list's age is looked at.

Without it, core_test: core_test.cpp:200: ERROR: CHECK( b.Effects<StopExecution>().empty() ) is NOT correct! core_test.cpp:201: ERROR: CHECK( b.Effects<Answer>().empty() ) is NOT correct!

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -38,7 +38,9 @@
 void Reducer::Reduce(Micros now, Event event, std::vector<Effect>* effects) {
   now_ = std::max(now_, now);
   effects_ = effects;
-  // Before all else: a timer that comes late must not let one more execution go.
+  // What has gone out comes first: withdrawn as one that never ran it could go out again.
+  if (const auto* out = std::get_if<ExecutionHandedOver>(&event)) On(ExecutionHandedOver(*out));
+  // Then, before all else: a timer that comes late must not let one more execution go.
   if (now_ >= good_until_) Distrust();
   std::visit([this](auto&& e) { On(std::move(e)); }, std::move(event));
   // The module is never called from within its own actions: what they bring about waits its turn here.
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -176,6 +176,20 @@
   CHECK(std::get<Served>(b.Only<Answer>().answer).result == "r");
 }
 
+TEST_CASE("a hand-over that is told just when the list becomes too old is one: it may run") {
+  Bench b;
+  b.Tell(NameTableGood{kSecond});
+  b.Ask(1, "once", "", 5 * kSecond);
+  const auto start = b.Only<StartExecution>();
+  b.Tell(ExecutionConnected{start.execution}, 999 * kMillisecond - 1);
+  CHECK(b.Only<HandOverExecution>().execution == start.execution);
+  b.Tell(ExecutionHandedOver{start.execution});  // the first that is told after that time
+  CHECK(b.Effects<StopExecution>().empty());
+  CHECK(b.Effects<Answer>().empty());
+  b.Tell(ExecutionEnded{start.execution, Outcome::kLost, "", {}}, 0);
+  CHECK(std::holds_alternative<Failure>(b.Only<Answer>().answer));
+}
+
 TEST_CASE("what was handed over stays where it is, and the class that must run once is not sent again") {
   Bench b;
   b.Ask(1, "once");
