Withdraw what still connects to an instance that has been started anew

Cause: only drains and removals withdrew an execution that was not handed over. One decided on for a warm instance went to its cold successor of the same name, past the draw for cold workers (`DrawCold`).

Change: news with a later start withdraws it (`MayStillGo`), and the module decides anew.

Without it, core_test: core_test.cpp:144: ERROR: CHECK( b.Only<StopExecution>().execution == start.execution ) THREW exception (there is none)

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -122,9 +122,7 @@
   const auto found = executions_.find(e.execution);
   if (found == executions_.end() || found->second.handed_over) return;
   const Execution& x = found->second;
-  const auto known = name_table_.find(x.instance);
-  const bool listed = known != name_table_.end() && MayGetNew(known->second);
-  if (!listed || requests_.at(x.request).answered || now_ >= x.start_by)
+  if (!MayStillGo(x) || requests_.at(x.request).answered || now_ >= x.start_by)
     return End(e.execution, Outcome::kNotSent, "", {}, true);
   Ask(HandOverExecution{e.execution, x.source, x.give_up_at - now_});
 }
@@ -218,8 +216,7 @@
   // What is decided but not yet handed over must not reach an instance that has meanwhile been told to drain.
   std::vector<ExecutionNo> late;
   for (const auto& [number, x] : executions_) {
-    const auto known = name_table_.find(x.instance);
-    if (known == name_table_.end() || !MayGetNew(known->second)) late.push_back(number);
+    if (!MayStillGo(x)) late.push_back(number);
   }
   Withdraw(late);
 }
@@ -289,7 +286,8 @@
   const Instance& to = known->second;
   const Micros until = a.give_up_at > 0 ? std::min(a.give_up_at, r.deadline) : r.deadline;
   const Micros start_by = std::min(a.start_by > 0 ? std::min(a.start_by, until) : until, r.start_by);
-  executions_[number] = Execution{request, attempt, a.worker, to.source, now_, start_by, until, false, 0};
+  executions_[number] =
+      Execution{request, attempt, a.worker, to.source, to.started, now_, start_by, until, false, 0};
   const bool fetches = to.source == Instance::Source::kSession;
   Ask(SetTimer{{TimerKey::Wait::kHandover, static_cast<std::uint64_t>(number)},
                std::clamp<Micros>(start_by - now_, 1, fetches ? s_.fetch_patience : s_.dial_timeout)});
@@ -357,6 +355,12 @@
   return i.state == Instance::State::kReady && !(distrusted_ && i.source == Instance::Source::kDiscovery);
 }
 
+bool Reducer::MayStillGo(const Execution& x) const {
+  const auto known = name_table_.find(x.instance);
+  return known != name_table_.end() && MayGetNew(known->second) &&
+         known->second.started <= x.instance_started;
+}
+
 void Reducer::End(ExecutionNo number, Outcome outcome, std::string result, LoadReport report, bool stop) {
   const auto found = executions_.find(number);
   if (found == executions_.end()) return;  // ended already: the first outcome stands
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -36,7 +36,7 @@
     int counter = 0;           // of its class, in counters_.classes
     Micros taken = 0;
     Micros deadline = 0;
-    Micros start_by = 0;  // of a repeat: the window of the run before, known by the job's own id
+    Micros start_by = 0;   // of a repeat: the window of the run before, known by the job's own id
     Micros first_run = 0;  // hand-over of the first execution that may have run
     bool answered = false;
     std::vector<ExecutionNo> executions;  // by attempt number
@@ -47,6 +47,7 @@
     int attempt = 0;
     std::string instance;
     Instance::Source source = Instance::Source::kDiscovery;
+    Micros instance_started = 0;  // as told when it was sent
     Micros sent = 0;
     Micros start_by = 0;  // no byte goes out from then on
     Micros give_up_at = 0;
@@ -96,6 +97,9 @@
   // What the module is told of an instance: one that cannot be vouched for wants nothing new.
   pulleyrouter::WorkerEntry ModuleEntry(const Instance& i) const;
   bool MayGetNew(const Instance& i) const;
+  // Whether an execution that is not handed over may still go to its instance. Not to one that has been
+  // started anew meanwhile: it is cold, and what cold ones may get is the module's to say.
+  bool MayStillGo(const Execution& x) const;
   void End(ExecutionNo number, Outcome outcome, std::string result, LoadReport report, bool stop);
   void Finish(std::uint64_t number, FinalAnswer answer);
   // Ends what has not been handed over, whether or not cancels are allowed: it never ran, and must not now.
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -132,6 +132,19 @@
   CHECK(b.Only<StartExecution>().instance == "b");  // it never ran, so even this class goes elsewhere
 }
 
+TEST_CASE("an execution not yet handed over never reaches an instance that has been started anew") {
+  Bench b;
+  b.Ask(1, "once");
+  const auto start = b.Only<StartExecution>();
+  Instance again = Bench::Worker("a");
+  b.News(NameTableNews::Form::kChanges, {again, Bench::Worker("b")});  // news of no such thing
+  CHECK(b.Effects<StopExecution>().empty());
+  again.started = kStart;
+  b.News(NameTableNews::Form::kChanges, {again});
+  CHECK(b.Only<StopExecution>().execution == start.execution);
+  CHECK(b.Only<StartExecution>().instance == "b");
+}
+
 TEST_CASE(
     "where news may count as told that has not come, nothing new goes out until the list is good again") {
   Bench b;
