--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -38,7 +38,9 @@
 void Reducer::Reduce(Micros now, Event event, std::vector<Effect>* effects) {
   now_ = std::max(now_, now);
   effects_ = effects;
-  // Before all else: a timer that comes late must not let one more execution go.
+  // What has gone out comes first: withdrawn as one that never ran it could go out again.
+  if (const auto* out = std::get_if<ExecutionHandedOver>(&event)) On(ExecutionHandedOver(*out));
+  // Then, before all else: a timer that comes late must not let one more execution go.
   if (now_ >= good_until_) Distrust();
   std::visit([this](auto&& e) { On(std::move(e)); }, std::move(event));
   // The module is never called from within its own actions: what they bring about waits its turn here.
@@ -92,6 +94,7 @@
   // Nobody waits longer than its class allows, whatever it says: such a request would sit on what others
   // need.
   r.deadline = now_ + std::min(e.job.time_left, c.deadline) - margin;
+  r.start_by = e.job.guard_repeats ? repeats_.MayStartUntil(e.job.id, c) : RepeatGuard::kNever;
   if (e.job.guard_repeats) repeats_.Begin(e.job.id);
   r.job = std::make_shared<const Job>(std::move(e.job));
   by_client_[r.client] = number;
@@ -113,6 +116,17 @@
   ForgetIfDone(number);
 }
 
+// A connection may come up long after its execution was decided on, and the timers that bound its wait may
+// ring late: what was judged then is judged again, by the time it is now.
+void Reducer::On(ExecutionConnected&& e) {
+  const auto found = executions_.find(e.execution);
+  if (found == executions_.end() || found->second.handed_over) return;
+  const Execution& x = found->second;
+  if (!MayStillGo(x) || requests_.at(x.request).answered || now_ >= x.start_by)
+    return End(e.execution, Outcome::kNotSent, "", {}, true);
+  Ask(HandOverExecution{e.execution, x.source, x.give_up_at - now_});
+}
+
 void Reducer::On(ExecutionHandedOver&& e) {
   const auto found = executions_.find(e.execution);
   if (found == executions_.end() || found->second.handed_over) return;
@@ -156,6 +170,9 @@
     return End(number, found->second.handed_over ? Outcome::kTimeout : Outcome::kConnectFailed, "", {}, true);
   }
   if (found->second.handed_over) return;
+  // Cut short by the window of an earlier attempt: that tells nothing of the instance.
+  if (found->second.start_by < found->second.give_up_at && now_ >= found->second.start_by)
+    return End(number, Outcome::kNotSent, "", {}, true);
   // An instance that fetches and did not is busy, not unreachable.
   const bool fetches = found->second.source == Instance::Source::kSession;
   End(number, fetches ? Outcome::kFull : Outcome::kConnectFailed, "", {}, true);
@@ -199,10 +216,9 @@
   // What is decided but not yet handed over must not reach an instance that has meanwhile been told to drain.
   std::vector<ExecutionNo> late;
   for (const auto& [number, x] : executions_) {
-    const auto known = name_table_.find(x.instance);
-    if (!x.handed_over && (known == name_table_.end() || !MayGetNew(known->second))) late.push_back(number);
+    if (!MayStillGo(x)) late.push_back(number);
   }
-  for (const ExecutionNo number : late) End(number, Outcome::kNotSent, "", {}, true);
+  Withdraw(late);
 }
 
 void Reducer::On(NameTableFailed&&) {
@@ -229,9 +245,9 @@
   TellModules(WholeList(WorkerList::Form::kCached));
   std::vector<ExecutionNo> late;
   for (const auto& [number, x] : executions_) {
-    if (!x.handed_over && x.source == Instance::Source::kDiscovery) late.push_back(number);
+    if (x.source == Instance::Source::kDiscovery) late.push_back(number);
   }
-  for (const ExecutionNo number : late) End(number, Outcome::kNotSent, "", {}, true);
+  Withdraw(late);
 }
 
 void Reducer::On(ProbeAnswered&& e) {
@@ -259,19 +275,22 @@
   r.executions.push_back(number);
   const auto known = name_table_.find(a.worker);
   const bool listed = known != name_table_.end() && MayGetNew(known->second);
+  if (now_ >= r.start_by) Finish(request, Failure{Failure::Why::kRepeat});
   if (!listed || r.answered || now_ >= r.deadline) {
     // The module's own list cannot differ from ours; were it to, nothing may be sent on its word.
     TellModuleOf(r, pulleyrouter::AttemptEnded{a.request, attempt, Outcome::kNotSent, r.answered, 0, {}});
-    return;
+    return ForgetIfDone(request);
   }
   ++r.open;
   ++counters_.executions_started;
   const Instance& to = known->second;
-  executions_[number] = Execution{request, attempt, a.worker, to.source, now_, false, 0};
   const Micros until = a.give_up_at > 0 ? std::min(a.give_up_at, r.deadline) : r.deadline;
+  const Micros start_by = std::min(a.start_by > 0 ? std::min(a.start_by, until) : until, r.start_by);
+  executions_[number] =
+      Execution{request, attempt, a.worker, to.source, to.started, now_, start_by, until, false, 0};
   const bool fetches = to.source == Instance::Source::kSession;
   Ask(SetTimer{{TimerKey::Wait::kHandover, static_cast<std::uint64_t>(number)},
-               fetches ? s_.fetch_patience : s_.dial_timeout});
+               std::clamp<Micros>(start_by - now_, 1, fetches ? s_.fetch_patience : s_.dial_timeout)});
   Ask(SetTimer{{TimerKey::Wait::kGiveUp, static_cast<std::uint64_t>(number)},
                std::max<Micros>(1, until - now_)});
   Ask(StartExecution{number, a.worker, to.address, to.source, r.job, until - now_});
@@ -280,7 +299,10 @@
 void Reducer::Do(const pulleyrouter::Cancel& a) {
   const auto found = requests_.find(static_cast<std::uint64_t>(a.request));
   if (found == requests_.end() || a.attempt < 0 || a.attempt >= std::ssize(found->second.executions)) return;
-  End(found->second.executions[a.attempt], Outcome::kCancelled, "", {}, true);
+  const ExecutionNo number = found->second.executions[a.attempt];
+  const auto x = executions_.find(number);
+  if (x == executions_.end()) return;
+  End(number, x->second.handed_over ? Outcome::kCancelled : Outcome::kNotSent, "", {}, true);
 }
 
 void Reducer::Do(const pulleyrouter::Refuse& a) {
@@ -333,6 +355,12 @@
   return i.state == Instance::State::kReady && !(distrusted_ && i.source == Instance::Source::kDiscovery);
 }
 
+bool Reducer::MayStillGo(const Execution& x) const {
+  const auto known = name_table_.find(x.instance);
+  return known != name_table_.end() && MayGetNew(known->second) &&
+         known->second.started <= x.instance_started;
+}
+
 void Reducer::End(ExecutionNo number, Outcome outcome, std::string result, LoadReport report, bool stop) {
   const auto found = executions_.find(number);
   if (found == executions_.end()) return;  // ended already: the first outcome stands
@@ -355,8 +383,7 @@
     still_out_.emplace(number, r.job->id);
   }
   --r.open;
-  const bool ran = MayHaveRun(outcome) && (outcome != Outcome::kCancelled || x.handed_over);
-  if (ran && r.first_run == 0) r.first_run = x.handed_over ? x.handed_at : now_;
+  if (MayHaveRun(outcome) && r.first_run == 0) r.first_run = x.handed_over ? x.handed_at : now_;
   if (outcome == Outcome::kServed && !r.answered) {
     counters_.classes[r.counter].served_ms += static_cast<std::uint64_t>((now_ - r.taken) / kMillisecond);
     Finish(x.request, Served{std::move(result)});
@@ -366,6 +393,14 @@
   ForgetIfDone(x.request);
 }
 
+void Reducer::Withdraw(const std::vector<ExecutionNo>& executions) {
+  for (const ExecutionNo number : executions) {
+    const auto found = executions_.find(number);
+    if (found != executions_.end() && !found->second.handed_over)
+      End(number, Outcome::kNotSent, "", {}, true);
+  }
+}
+
 void Reducer::Finish(std::uint64_t number, FinalAnswer answer) {
   const auto found = requests_.find(number);
   if (found == requests_.end() || std::exchange(found->second.answered, true)) return;
@@ -379,8 +414,11 @@
 }
 
 void Reducer::ForgetIfDone(std::uint64_t number) {
-  const auto found = requests_.find(number);
-  if (found == requests_.end() || !found->second.answered || found->second.open > 0) return;
+  auto found = requests_.find(number);
+  if (found == requests_.end() || !found->second.answered) return;
+  Withdraw(std::vector<ExecutionNo>(found->second.executions));  // nobody waits for them any more
+  found = requests_.find(number);
+  if (found == requests_.end() || found->second.open > 0) return;
   const Request& r = found->second;
   if (r.job->guard_repeats) repeats_.End(r.job->id, r.first_run);
   --modules_.at(r.module).open;
--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -72,10 +72,21 @@
     return true;
   }
 
-  void Run(ExecutionNo execution, std::string request_id, const std::string& message) {
+  void Run(ExecutionNo execution, std::shared_ptr<const Job> job) {
     execution_ = execution;
-    request_id_ = std::move(request_id);
-    Write(message);
+    job_ = std::move(job);
+  }
+  // In this very moment as far as the kernel takes it, not in the loop's next turn: what was judged must
+  // still hold at the first byte.
+  void HandOver(Micros time_left) {
+    bufferevent* stream = stream_.get();
+    evbuffer* output = bufferevent_get_output(stream);
+    Write(Encode(*job_, address, time_left));
+    bufferevent_incref(stream);  // whoever is told of the hand-over may end this connection
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, bufferevent_getfd(stream));
+    evbuffer_freeze(output, 1);
+    bufferevent_decref(stream);
   }
   void Probe(std::string instance, const std::string& message, ProbeDone done) {
     probe_done_ = std::move(done);
@@ -110,18 +121,22 @@
     const std::size_t size = evbuffer_get_length(input);
     c->Parse(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size);
     evbuffer_drain(input, size);
-    if (!c->whole_ && HTTP_PARSER_ERRNO(&c->parser_) != HPE_OK) return c->Break(Outcome::kError);
+    // The answer first: what follows its last line in the same read is no part of it, however it is framed.
     if (c->whole_ || c->settled_) return c->Settle();
+    if (HTTP_PARSER_ERRNO(&c->parser_) != HPE_OK) return c->Break(Outcome::kError);
     c->TellProgress();
   }
 
   static void OnEvent(bufferevent*, short what, void* arg) {
     auto* c = static_cast<Connection*>(arg);
+    if ((what & BEV_EVENT_CONNECTED) != 0 && c->execution_)
+      return c->link_->sink_->Tell(ExecutionConnected{*c->execution_});
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
     if ((what & BEV_EVENT_EOF) != 0) {
       c->Parse(nullptr, 0);  // ends an answer framed by the connection's end
       if (c->whole_ && (c->execution_ || c->probed_)) return c->Settle();
     }
+    if (c->HasLastLine()) return c->Settle();
     // Broken before the request's last byte was written: it cannot have run.
     c->Break(c->handed_over_ ? Outcome::kLost : Outcome::kConnectFailed);
   }
@@ -173,16 +188,17 @@
 
   int OnBody(const char* at, std::size_t size) {
     if (settled_) return 0;
+    std::size_t look = line_.size();  // what came before has no line's end: not to be searched with each byte
     line_.append(at, size);
     if (line_.size() > kMostLine * 2) return 1;
     if (probed_ || parser_.status_code != 200) return 0;
     std::size_t begin = 0;
-    for (std::size_t end; !settled_ && (end = line_.find('\n', begin)) != std::string::npos;
-         begin = end + 1) {
+    for (std::size_t end; !settled_ && (end = line_.find('\n', look)) != std::string::npos;
+         begin = look = end + 1) {
       const std::string_view text(line_.data() + begin, end - begin);
       if (text.find_first_not_of(" \t\r") == std::string_view::npos) continue;
       try {
-        OnLine(DecodeExecutionLine(text, request_id_));
+        OnLine(DecodeExecutionLine(text, job_->id));
       } catch (const BadMessage& e) {
         Log(LogLevel::kWarning, "instance_answer_bad", {{"address", address}, {"what", e.what()}});
         return 1;
@@ -206,11 +222,22 @@
     settled_ = true;
   }
 
+  // Once no more comes: whether the last line has come, maybe without its line's end. No part of an object is
+  // one itself, so what can be read is whole; what cannot was cut.
+  bool HasLastLine() {
+    if (settled_ || !execution_ || parser_.status_code != 200) return settled_;
+    try {
+      OnLine(DecodeExecutionLine(line_, job_->id));
+    } catch (const BadMessage&) {
+    }
+    return settled_;
+  }
+
   // The last line, or all of the answer, has come. The connection is closed before the core hears of it, so
   // that a resend finds room.
   void Settle() {
     ExecutionEnded ended;
-    if (settled_) {
+    if (HasLastLine()) {
       ended = std::move(last_);
     } else if (parser_.status_code == 200) {
       ended.outcome = probed_ ? Outcome::kServed : Outcome::kLost;  // it ended before its last line
@@ -259,7 +286,7 @@
   http_parser parser_;
   std::optional<ExecutionNo> execution_;
   std::optional<std::string> probed_;
-  std::string request_id_;
+  std::shared_ptr<const Job> job_;  // of the execution
   Micros started_ = 0;
   bool handed_over_ = false;  // the request's last byte is the kernel's
   bool settled_ = false;      // its last line has come
@@ -312,7 +339,12 @@
     return;
   }
   busy_[start.execution] = connection;
-  connection->Run(start.execution, start.job->id, Encode(*start.job, start.address, start.time_left));
+  connection->Run(start.execution, start.job);
+}
+
+void InstanceLink::HandOver(const HandOverExecution& hand_over) {
+  const auto found = busy_.find(hand_over.execution);
+  if (found != busy_.end()) found->second->HandOver(hand_over.time_left);
 }
 
 void InstanceLink::Stop(ExecutionNo execution) {
--- a/tests/daemon/core_test.cpp
+++ b/tests/daemon/core_test.cpp
@@ -40,7 +40,7 @@
 
 class Bench {
  public:
-  Bench() {
+  explicit Bench(CoreSettings settings = Settings()) : core_(std::move(settings)) {
     Tell(NameTableNews{NameTableNews::Form::kRemembered, Instance::Source::kDiscovery, {Worker("a")}});
   }
 
@@ -56,13 +56,14 @@
     effects_.clear();
     core_.Reduce(now_, std::move(event), &effects_);
   }
-  void Ask(std::uint64_t client, const std::string& klass, const std::string& id = "") {
+  void Ask(std::uint64_t client, const std::string& klass, const std::string& id = "",
+           Micros time_left = kSecond) {
     Job job;
     job.id = id;
     job.guard_repeats = !id.empty();
     job.klass = klass;
     job.tenant = "t";
-    job.time_left = kSecond;
+    job.time_left = time_left;
     Tell(RequestTaken{{ClientRef::Front::kHttp, client}, job});
   }
   void News(NameTableNews::Form form, std::vector<Instance> instances) {
@@ -84,7 +85,7 @@
   Reducer& core() { return core_; }
 
  private:
-  Reducer core_{Settings()};
+  Reducer core_;
   Micros now_ = kStart;
   std::vector<Effect> effects_;
 };
@@ -131,6 +132,19 @@
   CHECK(b.Only<StartExecution>().instance == "b");  // it never ran, so even this class goes elsewhere
 }
 
+TEST_CASE("an execution not yet handed over never reaches an instance that has been started anew") {
+  Bench b;
+  b.Ask(1, "once");
+  const auto start = b.Only<StartExecution>();
+  Instance again = Bench::Worker("a");
+  b.News(NameTableNews::Form::kChanges, {again, Bench::Worker("b")});  // news of no such thing
+  CHECK(b.Effects<StopExecution>().empty());
+  again.started = kStart;
+  b.News(NameTableNews::Form::kChanges, {again});
+  CHECK(b.Only<StopExecution>().execution == start.execution);
+  CHECK(b.Only<StartExecution>().instance == "b");
+}
+
 TEST_CASE(
     "where news may count as told that has not come, nothing new goes out until the list is good again") {
   Bench b;
@@ -175,6 +189,20 @@
   CHECK(std::get<Served>(b.Only<Answer>().answer).result == "r");
 }
 
+TEST_CASE("a hand-over that is told just when the list becomes too old is one: it may run") {
+  Bench b;
+  b.Tell(NameTableGood{kSecond});
+  b.Ask(1, "once", "", 5 * kSecond);
+  const auto start = b.Only<StartExecution>();
+  b.Tell(ExecutionConnected{start.execution}, 999 * kMillisecond - 1);
+  CHECK(b.Only<HandOverExecution>().execution == start.execution);
+  b.Tell(ExecutionHandedOver{start.execution});  // the first that is told after that time
+  CHECK(b.Effects<StopExecution>().empty());
+  CHECK(b.Effects<Answer>().empty());
+  b.Tell(ExecutionEnded{start.execution, Outcome::kLost, "", {}}, 0);
+  CHECK(std::holds_alternative<Failure>(b.Only<Answer>().answer));
+}
+
 TEST_CASE("what was handed over stays where it is, and the class that must run once is not sent again") {
   Bench b;
   b.Ask(1, "once");
@@ -200,6 +228,231 @@
   CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kConnectFailed)] == 1);
 }
 
+TEST_CASE(
+    "whoever leaves takes along what is not handed over, whatever the class and whether cancels are "
+    "allowed") {
+  for (const bool cancels : {true, false}) {
+    for (const std::string klass : {"safe", "keyed", "once"}) {
+      CAPTURE(cancels);
+      CAPTURE(klass);
+      CoreSettings settings = Settings();
+      settings.module.cancel = cancels;
+      Bench b(settings);
+      b.Ask(1, klass);
+      const auto connecting = b.Only<StartExecution>();
+      b.Ask(2, klass);
+      const auto running = b.Only<StartExecution>();
+      b.Tell(ExecutionHandedOver{running.execution});
+      b.Tell(ClientLeft{{ClientRef::Front::kHttp, 1}});
+      CHECK(b.Only<StopExecution>().execution == connecting.execution);
+      CHECK(b.Effects<StartExecution>().empty());
+      b.Tell(ExecutionHandedOver{connecting.execution});  // told too late to be of any use
+      CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kNotSent)] == 1);
+      b.Tell(ClientLeft{{ClientRef::Front::kHttp, 2}});
+      CHECK(b.Effects<StopExecution>().size() == (cancels ? 1 : 0));
+      b.Tell(ExecutionEnded{running.execution, Outcome::kServed, "", {}});
+      CHECK(b.Effects<Answer>().empty());
+      CHECK(b.core().Quiet());
+    }
+  }
+}
+
+TEST_CASE(
+    "a request that is answered takes along what is not handed over, also where cancels are not allowed") {
+  CoreSettings settings = Settings();
+  settings.module.cancel = false;
+  Bench b(settings);
+  b.Ask(1, "once");
+  const auto start = b.Only<StartExecution>();
+  // The module's own deadline timer, while the connection still comes up: its wait is over before the
+  // reducer's.
+  for (const SetTimer& timer : b.Effects<SetTimer>()) {
+    if (timer.key.wait == TimerKey::Wait::kModule) b.Tell(TimerDue{timer.key}, timer.delay);
+    if (!b.Effects<Answer>().empty()) break;
+  }
+  CHECK(b.Effects<Answer>().size() == 1);
+  CHECK(b.Only<StopExecution>().execution == start.execution);
+  CHECK(b.core().Quiet());
+}
+
+TEST_CASE(
+    "what was judged at the send is judged again when the connection is up, however late a timer rings") {
+  Bench b;
+  SUBCASE("in time it is handed over, with the time that is left by then") {
+    b.Ask(1, "once");
+    const auto start = b.Only<StartExecution>();
+    b.Tell(ExecutionConnected{start.execution}, 200 * kMillisecond);
+    CHECK(b.Only<HandOverExecution>().execution == start.execution);
+    CHECK(b.Only<HandOverExecution>().time_left == 780 * kMillisecond);
+  }
+  SUBCASE("past the deadline") {
+    b.Ask(1, "safe", "", 300 * kMillisecond);
+    const auto start = b.Only<StartExecution>();
+    SUBCASE("the last moment") {
+      b.Tell(ExecutionConnected{start.execution}, 280 * kMillisecond - 1);
+      CHECK(b.Only<HandOverExecution>().time_left == 1);
+    }
+    SUBCASE("too late") {
+      b.Tell(ExecutionConnected{start.execution}, 280 * kMillisecond);
+      CHECK(b.Effects<HandOverExecution>().empty());
+      CHECK(b.Only<StopExecution>().execution == start.execution);
+      CHECK(b.Effects<Answer>().size() == 1);
+      CHECK(b.core().Quiet());
+    }
+  }
+  SUBCASE("where the list is too old by then") {
+    b.Ask(1, "safe");
+    b.Tell(NameTableGood{200 * kMillisecond});
+    b.Tell(ExecutionConnected{ExecutionNo{1}}, 200 * kMillisecond);
+    CHECK(b.Effects<HandOverExecution>().empty());
+    CHECK(b.Only<StopExecution>().execution == ExecutionNo{1});
+  }
+  SUBCASE("where the instance drains, or whoever asked has left, nothing is left to be judged") {
+    b.Ask(1, "safe");
+    b.Ask(2, "safe");
+    b.Tell(ClientLeft{{ClientRef::Front::kHttp, 1}});
+    b.News(NameTableNews::Form::kChanges, {Bench::Worker("a", Instance::State::kDraining)});
+    for (const ExecutionNo number : {ExecutionNo{1}, ExecutionNo{2}}) {
+      b.Tell(ExecutionConnected{number});
+      CHECK(b.Effects<HandOverExecution>().empty());
+    }
+  }
+}
+
+TEST_CASE("a keyed request that may have run begins again within the window of its first attempt, or never") {
+  CoreSettings settings = Settings();
+  settings.module.classes[1].window = 100 * kMillisecond;  // shorter than a dial
+  Bench b(settings);
+  b.News(NameTableNews::Form::kChanges, {Bench::Worker("b")});
+  b.Ask(1, "keyed");
+  const auto first = b.Only<StartExecution>();
+  b.Tell(ExecutionConnected{first.execution});
+  b.Tell(ExecutionHandedOver{first.execution});
+  b.Tell(ExecutionEnded{first.execution, Outcome::kLost, "", {}}, 58 * kMillisecond);
+  const auto second = b.Only<StartExecution>();  // 60 ms after the first was decided on
+  const TimerKey wait{TimerKey::Wait::kHandover, static_cast<std::uint64_t>(second.execution)};
+  Micros delay = 0;
+  for (const SetTimer& timer : b.Effects<SetTimer>()) delay = timer.key == wait ? timer.delay : delay;
+  CHECK(delay == 40 * kMillisecond);
+  SUBCASE("the last moment") {
+    b.Tell(ExecutionConnected{second.execution}, delay - 1);
+    CHECK(b.Only<HandOverExecution>().execution == second.execution);
+  }
+  SUBCASE("too late") {
+    SUBCASE("by the timer") { b.Tell(TimerDue{wait}, delay); }
+    SUBCASE("before the timer, which rings late") { b.Tell(ExecutionConnected{second.execution}, delay); }
+    CHECK(b.Effects<HandOverExecution>().empty());
+    CHECK(b.Only<StopExecution>().execution == second.execution);
+    CHECK(b.Effects<StartExecution>().empty());
+    // Its repeats are dropped wherever they come.
+    CHECK(std::holds_alternative<Nack>(b.Only<Answer>().answer));
+    CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kNotSent)] == 1);
+    CHECK(b.core().Quiet());
+  }
+}
+
+TEST_CASE("an execution that is called off before its last byte is out never ran") {
+  CoreSettings settings = Settings();
+  settings.module.classes[1].window = 2 * kSecond;
+  settings.dial_timeout = 4 * kSecond;  // longer than the module waits for a sign of life
+  Bench b(settings);
+  b.News(NameTableNews::Form::kChanges, {Bench::Worker("b")});
+  b.Ask(1, "keyed", "", 5 * kSecond);
+  const auto first = b.Only<StartExecution>();
+  Micros waited = 0;
+  for (const SetTimer& timer : b.Effects<SetTimer>()) {
+    if (timer.key.wait != TimerKey::Wait::kModule || timer.delay >= 4 * kSecond || waited > 0) continue;
+    b.Tell(TimerDue{timer.key}, timer.delay);
+    waited = b.Effects<StopExecution>().empty() ? 0 : timer.delay;
+  }
+  REQUIRE(waited > kSecond);
+  CHECK(b.Only<StopExecution>().execution == first.execution);
+  CHECK(b.core().counters().executions[static_cast<std::size_t>(Outcome::kNotSent)] == 1);
+  const auto second = b.Only<StartExecution>();
+  b.Tell(ExecutionHandedOver{second.execution});
+  // The window is counted from the second, the first that may have run.
+  b.Tell(ExecutionEnded{second.execution, Outcome::kLost, "", {}}, 2 * kSecond - 2 * kMillisecond);
+  CHECK(b.Effects<StartExecution>().size() == 1);
+}
+
+TEST_CASE("a class that must not be repeated goes again only where no byte can have run") {
+  enum class How {
+    kEnded,     // the link tells the outcome
+    kHandover,  // not handed over in time
+    kGiveUp,    // no answer in time
+    kDrain,     // news
+    kDistrust,  // the list is too old
+    kLate,      // connected after its time
+  };
+  struct {
+    std::string what;
+    bool handed_over;
+    How how;
+    Outcome outcome;  // told for kEnded, counted for all
+    bool never_ran;
+  } const kEnds[] = {
+      {"refused, or broken before the last byte", false, How::kEnded, Outcome::kConnectFailed, true},
+      {"never up", false, How::kHandover, Outcome::kConnectFailed, true},
+      {"told to drain before the last byte", false, How::kDrain, Outcome::kNotSent, true},
+      {"an answer before the last byte: nobody knows what it is to", false, How::kEnded, Outcome::kError,
+       false},
+      {"turned away or handed back", true, How::kEnded, Outcome::kFull, true},
+      {"failed", true, How::kEnded, Outcome::kError, false},
+      {"cut, reset or killed", true, How::kEnded, Outcome::kLost, false},
+      // After these there is no time, or nobody, left to try.
+      {"given up on unsent", false, How::kGiveUp, Outcome::kConnectFailed, true},
+      {"up after its time", false, How::kLate, Outcome::kNotSent, true},
+      {"no list before the last byte", false, How::kDistrust, Outcome::kNotSent, true},
+      {"given up on", true, How::kGiveUp, Outcome::kTimeout, false},
+  };
+  for (const auto& end : kEnds) {
+    for (const std::string klass : {"safe", "keyed", "once"}) {
+      CAPTURE(end.what);
+      CAPTURE(klass);
+      Bench b;
+      b.News(NameTableNews::Form::kChanges, {Bench::Worker("b")});
+      b.Ask(1, klass);
+      const auto start = b.Only<StartExecution>();
+      const auto number = static_cast<std::uint64_t>(start.execution);
+      if (end.handed_over) {
+        b.Tell(ExecutionConnected{start.execution});
+        CHECK(b.Only<HandOverExecution>().execution == start.execution);
+        b.Tell(ExecutionHandedOver{start.execution});
+      }
+      const bool over = end.how == How::kGiveUp || end.how == How::kLate || end.how == How::kDistrust;
+      switch (end.how) {
+        case How::kEnded:
+          b.Tell(ExecutionEnded{start.execution, end.outcome, "", {}});
+          break;
+        case How::kHandover:
+          b.Tell(TimerDue{{TimerKey::Wait::kHandover, number}}, 250 * kMillisecond);
+          break;
+        case How::kGiveUp:
+          b.Tell(TimerDue{{TimerKey::Wait::kGiveUp, number}}, kSecond);
+          break;
+        case How::kDrain:
+          b.News(NameTableNews::Form::kChanges, {Bench::Worker(start.instance, Instance::State::kDraining)});
+          break;
+        case How::kDistrust:
+          b.Tell(NameTableGood{0});
+          break;
+        case How::kLate:
+          b.Tell(ExecutionConnected{start.execution}, kSecond);
+          break;
+      }
+      CHECK(b.core().counters().executions[static_cast<std::size_t>(end.outcome)] == 1);
+      // Whatever may still go on at the instance is ended before anything else begins.
+      CHECK(b.Effects<StopExecution>().size() == (end.how == How::kEnded ? 0 : 1));
+      const bool again = !over && (end.never_ran || klass != "once");
+      REQUIRE(b.Effects<StartExecution>().size() == (again ? 1 : 0));
+      if (again) continue;
+      const auto answer = b.Only<Answer>().answer;
+      CHECK(std::holds_alternative<Nack>(answer) == (end.never_ran || klass != "once"));
+      CHECK(b.core().Quiet());
+    }
+  }
+}
+
 TEST_CASE("every nack tells when to come back") {
   Bench b;
   b.News(NameTableNews::Form::kChanges, {Bench::Worker("a", Instance::State::kGone)});
@@ -230,6 +483,31 @@
   CHECK_FALSE(run(7, "keyed", "z"));
 }
 
+TEST_CASE(
+    "a repeat by a job's own id begins within the window of the run before, however long it waits here") {
+  CoreSettings settings = Settings();
+  settings.dial_timeout = 2 * kSecond;
+  Bench b(settings);
+  b.Ask(1, "keyed", "z");
+  const auto first = b.Only<StartExecution>();
+  b.Tell(ExecutionHandedOver{first.execution});
+  b.Tell(ExecutionEnded{first.execution, Outcome::kServed, "", {}});
+  b.Ask(2, "keyed", "z", 3 * kSecond);  // 2 ms into a window of a second
+  const auto second = b.Only<StartExecution>();
+  SUBCASE("the last moment") {
+    b.Tell(ExecutionConnected{second.execution}, 998 * kMillisecond - 1);
+    CHECK(b.Effects<HandOverExecution>().size() == 1);
+  }
+  SUBCASE("too late") {
+    b.Tell(ExecutionConnected{second.execution}, 998 * kMillisecond);
+    CHECK(b.Effects<HandOverExecution>().empty());
+    CHECK(b.Only<StopExecution>().execution == second.execution);
+    CHECK(b.Effects<StartExecution>().empty());
+    CHECK(std::get<Failure>(b.Only<Answer>().answer).why == Failure::Why::kRepeat);  // as if it had come then
+    CHECK(b.core().Quiet());
+  }
+}
+
 TEST_CASE("a job given up on at a worker that cannot be stopped is not taken again while it is out there") {
   Bench b;
   b.News(NameTableNews::Form::kWhole, {});
