Begin nothing for a client that has gone; shut, drain and accept without loss or spin

Five faults in service clients' connections, each with its case in client_crossings_test.

An attempt began for a client whose end lay unread: with its whole request, or in the same moment as the loss of the attempt before. At fault: nothing between the reducer's StartExecution and the link asked the connection (Daemon::Do). Now the front is asked at each attempt (MSG_PEEK): where the end is next, the core is told ClientLeft and the attempt ends as not sent. CloseIdle and OnTimer closed at once: what crossed met a reset. Now shutdown first, what comes is thrown away, close at the end or after 1 s. A request that came whole long after SIGTERM had its own deadline, beyond the earliest SIGKILL (the longest deadline, counted as 3 s where longer, + 0.7 s). From 0.6 s on its time now ends 0.2 s before that; with under 0.5 s and under half of its time left it is refused with Retry-After. A connection accepted right before SIGTERM was closed before its first request came. With no descriptor left, the listener had no error callback and spun, a log line each time.

"draining" is logged once the drain has begun, not before: a test that stops the process at that line met the gap.

Found right already, with a case each: the second request behind one in hand in a drain, half-close, a full table of idle and bad clients, ready with discovery down or silent.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -274,7 +274,7 @@
                fetches ? s_.fetch_patience : s_.dial_timeout});
   Ask(SetTimer{{TimerKey::Wait::kGiveUp, static_cast<std::uint64_t>(number)},
                std::max<Micros>(1, until - now_)});
-  Ask(StartExecution{number, a.worker, to.address, to.source, r.job, until - now_});
+  Ask(StartExecution{number, a.worker, to.address, to.source, r.job, until - now_, r.client});
 }
 
 void Reducer::Do(const pulleyrouter::Cancel& a) {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -154,6 +154,7 @@
   Instance::Source source = Instance::Source::kDiscovery;
   std::shared_ptr<const Job> job;
   Micros time_left = 0;
+  ClientRef client;  // whom it is for
 };
 struct StopExecution {
   ExecutionNo execution{};
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -97,6 +97,13 @@
 }
 
 void Daemon::Do(const StartExecution& e) {
+  // A client's end may have come with its request, or in the same moment as the news that made this attempt:
+  // then it lies unread, and the attempt would begin for nobody.
+  const auto* door = offers_.doors[static_cast<std::size_t>(e.client.front)];
+  if (door != nullptr && door->HasLeft(e.client.number)) {
+    Tell(ClientLeft{e.client});
+    return Tell(ExecutionEnded{e.execution, Outcome::kNotSent, "", {}});
+  }
   if (auto* runner = offers_.runners[static_cast<std::size_t>(e.source)]) runner->Start(e);
 }
 void Daemon::Do(const StopExecution& e) {
@@ -159,9 +166,9 @@
 
 void Daemon::BeginDrain() {
   if (drain_began_ != 0) return;
-  Log(LogLevel::kInfo, "draining");
   drain_began_ = Now();
   for (const auto& part : parts_) part->BeginDrain();
+  Log(LogLevel::kInfo, "draining");
   quiet_timer_->Set(kLookEvery);
 }
 
--- a/src/daemon/part.h
+++ b/src/daemon/part.h
@@ -31,6 +31,8 @@
  public:
   virtual ~ClientDoor() = default;
   virtual void Reply(std::uint64_t client, const FinalAnswer& answer) = 0;
+  // Whether it has gone, though nobody has been told yet.
+  virtual bool HasLeft(std::uint64_t) const { return false; }
 };
 
 // Where the core's effects go, and what else a part has for others. A place that nobody has taken is empty.
--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -1,4 +1,5 @@
 // The platform's HTTP: service clients, links to instances, discovery.
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -16,8 +17,10 @@
 
 ClientFrontSettings ForClients(const Config& c) {
   ClientFrontSettings s;
-  for (const auto& klass : c.module.classes)
+  for (const auto& klass : c.module.classes) {
     s.keyed[klass.name] = klass.repeat == pulleyrouter::Repeat::kKeyed;
+    s.longest_deadline = std::max(s.longest_deadline, klass.deadline);
+  }
   s.most_connections = static_cast<std::size_t>(Shares(c).clients);
   s.most_bytes = (static_cast<std::size_t>(c.memory_mb) << 20) / 8;
   return s;
@@ -73,6 +76,7 @@
   void Start(const StartExecution& e) override { instances_->Start(e); }
   void Stop(ExecutionNo execution) override { instances_->Stop(execution); }
   void Reply(std::uint64_t client, const FinalAnswer& answer) override { clients_->Reply(client, answer); }
+  bool HasLeft(std::uint64_t client) const override { return clients_->HasLeft(client); }
 
   void Prepare(const Config& next) override {
     if (!(next.listen == listen_)) door_ = clients_->Open(next.listen);
--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -7,7 +7,6 @@
 #include <ctime>
 #include <tuple>
 #include <utility>
-#include <vector>
 
 #include "core/text.h"
 #include "http/request_reader.h"
@@ -33,7 +32,18 @@
 constexpr Micros kFresh = 60 * kMillisecond;
 constexpr Micros kPieces = 500 * kMillisecond;
 constexpr Micros kLookForRoomEvery = 20 * kMillisecond;
+// One that is closed between requests has all that was sent to it; what it has sent meanwhile it sends again.
+constexpr Micros kRestingLinger = 1 * kSecond;
+// After SIGTERM. SIGKILL comes no sooner than kKillAfter and the longest deadline, counted as kKillCounts
+// where it is longer. What comes whole later than kKillAfter must have its answer by then, with time to reach
+// the client; the signal and the request may both have waited for us.
 constexpr Micros kNewcomerGrace = 600 * kMillisecond;
+constexpr Micros kKillAfter = 700 * kMillisecond;
+constexpr Micros kKillCounts = 3 * kSecond;
+constexpr Micros kKillMargin = 200 * kMillisecond;
+constexpr Micros kLateFrom = 600 * kMillisecond;
+// Less than this, and than half of what it may take, is too little for a job to be begun.
+constexpr Micros kTooLittle = 500 * kMillisecond;
 constexpr Micros kCloseEvery = 20 * kMillisecond;
 constexpr Micros kBusyAdvice = 500 * kMillisecond;
 
@@ -119,11 +129,20 @@
   }
   // Whether a drain may close it: a request on its way would be lost, though one that crosses the close is
   // sent again elsewhere.
-  bool Idle(Micros drain_began) const {
-    // One that came after the signal is about to send its request; it is closed with its answer.
-    if (since_ >= drain_began && served_ == 0 && SteadyNow() - since_ < kNewcomerGrace) return false;
+  bool Idle() const {
+    // A newcomer is about to send its request, whether it came after the signal or right before; it is closed
+    // with its answer.
+    const Micros now = SteadyNow();
+    if (served_ == 0 && now - since_ < kNewcomerGrace && now < front_->AnswerBy()) return false;
     return state_ == State::kReading && !Unread();
   }
+  // Ends it between requests. Our end goes first: what crosses it is read and thrown away, never sent on, and
+  // resets nothing that the client has yet to read.
+  void Shut() { Linger(kRestingLinger); }
+  // Half a request that SIGKILL would meet.
+  bool Halfway() const { return state_ == State::kReading && reader_.begun() && !Waiting(); }
+  void Expire() { Refuse(408, "the request has not come whole in time"); }
+  bool Told() const { return state_ == State::kLingering; }
 
   void Reply(const FinalAnswer& answer) {
     if (const auto* served = std::get_if<Served>(&answer)) return Write(200, served->result);
@@ -142,12 +161,20 @@
 
   std::uint64_t client() const { return client_; }  // 0 without a request in hand
 
+  // Asks the system. What lies before the end hides it: that is read first, at once.
+  bool Ended() const {
+    char next = 0;
+    const ssize_t size = recv(bufferevent_getfd(stream_.get()), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno == ECONNRESET);
+  }
+
  private:
   enum class State { kReading, kHeld, kWriting, kLingering };
 
-  bool Unread() const {
+  bool Unread() const { return reader_.begun() || Waiting(); }
+  bool Waiting() const {
     int unread = 0;
-    return reader_.begun() || evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0 ||
+    return evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0 ||
            (ioctl(bufferevent_getfd(stream_.get()), FIONREAD, &unread) == 0 && unread > 0);
   }
 
@@ -172,9 +199,11 @@
   }
 
   void OnTimer() {
-    if (state_ == State::kLingering || (state_ == State::kReading && !reader_.begun()))
-      return front_->Remove(this);
-    if (state_ == State::kReading) Refuse(408, "the request has not come whole in time");
+    if (state_ == State::kLingering) return front_->Remove(this);
+    if (state_ != State::kReading) return;
+    // What has come in the same moment is read first.
+    if (Waiting()) return timer_.Set(kCloseEvery);
+    reader_.begun() ? Expire() : Shut();
   }
 
   void Read() {
@@ -239,6 +268,14 @@
       front_->TurnedAway(400, e.what(), id);
       return Write(400, std::string(e.what()) + "\n");
     }
+    if (const auto left = front_->LeftWhileDraining()) {
+      if (*left < kTooLittle && *left < job.time_left / 2) {
+        front_->TurnedAway(503, "too late in a drain", id);
+        return Write(503, "refused: trying again is harmless\n",
+                     "Retry-After: " + DecimalSeconds(kBusyAdvice) + "\r\n");
+      }
+      job.time_left = std::min(job.time_left, *left);
+    }
     state_ = State::kHeld;
     client_ = front_->next_++;
     front_->held_.emplace(client_, this);
@@ -268,18 +305,18 @@
 
   void Written() {
     since_ = SteadyNow();
-    if (last_) return Linger();
+    if (last_) return Linger(kLinger);
     state_ = State::kReading;
     reader_.Reset();
     timer_.Set(kIdle);
     Read();  // what was read meanwhile
   }
 
-  void Linger() {
+  void Linger(Micros within) {
     state_ = State::kLingering;
     bufferevent_disable(stream_.get(), EV_WRITE);
     shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
-    timer_.Set(kLinger);
+    timer_.Set(within);
     if (rest_ == nullptr) ThrowAwayRest();
   }
 
@@ -334,7 +371,9 @@
 ClientFront::~ClientFront() { TellTurnedAway(true); }
 
 EventPtr<evconnlistener> ClientFront::Open(const Endpoint& listen) {
-  return ListenOn(base_, listen, "listen", &ClientFront::OnAccept, this);
+  EventPtr<evconnlistener> listener = ListenOn(base_, listen, "listen", &ClientFront::OnAccept, this);
+  evconnlistener_set_error_cb(listener.get(), &ClientFront::OnAcceptFailed);
+  return listener;
 }
 
 void ClientFront::Adopt(ClientFrontSettings settings, EventPtr<evconnlistener> listener) {
@@ -354,6 +393,12 @@
   front->MindTheDoor();
 }
 
+// As where the descriptors are spent: the newcomer stays in the queue and would wake us up again at once.
+void ClientFront::OnAcceptFailed(evconnlistener*, void* self) {
+  auto* front = static_cast<ClientFront*>(self);
+  if (!front->MakeRoom()) front->ShutDoor();
+}
+
 bool ClientFront::MakeRoom() {
   using Spare = Connection::Spare;
   const Micros now = SteadyNow();
@@ -366,6 +411,8 @@
     best = connection;
   }
   if (best == nullptr) return false;
+  // At once, as its descriptor is needed: a request that crosses this meets a reset and is sent again on a
+  // new connection. One at rest has nothing unread before it, and its last answer is at least kFresh old.
   Remove(best);
   return true;
 }
@@ -376,6 +423,10 @@
     evconnlistener_enable(listener_.get());
     return;
   }
+  ShutDoor();
+}
+
+void ClientFront::ShutDoor() {
   Log(LogLevel::kWarning, "client_connections_full",
       {{"connections", connections_.size()}, {"with_a_request", held_.size()}});
   evconnlistener_disable(listener_.get());
@@ -414,6 +465,11 @@
   connection->Reply(answer);
 }
 
+bool ClientFront::HasLeft(std::uint64_t client) const {
+  const auto found = held_.find(client);
+  return found != held_.end() && found->second->Ended();
+}
+
 void ClientFront::BeginDrain() {
   if (drain_began_ != 0) return;
   drain_began_ = last_accept_ = SteadyNow();
@@ -421,12 +477,29 @@
 }
 
 void ClientFront::CloseIdle() {
-  std::vector<Connection*> idle;
+  const bool late = SteadyNow() >= AnswerBy();
   for (const auto& [connection, owned] : connections_) {
-    if (connection->Idle(drain_began_)) idle.push_back(connection);
+    if (connection->Idle()) connection->Shut();
+    if (late && connection->Halfway()) connection->Expire();
   }
-  for (Connection* one : idle) Remove(one);
   drain_timer_.Set(kCloseEvery);
 }
 
+Micros ClientFront::AnswerBy() const {
+  return drain_began_ + kKillAfter + std::min(s_.longest_deadline, kKillCounts) - kKillMargin;
+}
+
+std::optional<Micros> ClientFront::LeftWhileDraining() const {
+  const Micros now = SteadyNow();
+  if (drain_began_ == 0 || now - drain_began_ < kLateFrom) return std::nullopt;
+  return std::max<Micros>(0, AnswerBy() - now);
+}
+
+bool ClientFront::Quiet() const {
+  if (connections_.empty()) return true;
+  // Peers that have their answers and never close must not keep the program until it is killed.
+  return drain_began_ != 0 && SteadyNow() >= AnswerBy() &&
+         std::all_of(connections_.begin(), connections_.end(), [](const auto& c) { return c.first->Told(); });
+}
+
 }  // namespace aldersill
--- a/src/http/client_front.h
+++ b/src/http/client_front.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -19,7 +20,8 @@
 struct ClientFrontSettings {
   std::unordered_map<std::string, bool> keyed;  // by class, whether its jobs carry a key
   std::size_t most_connections = 0;
-  std::size_t most_bytes = 0;  // of requests that have not come whole, over all connections
+  std::size_t most_bytes = 0;   // of requests that have not come whole, over all connections
+  Micros longest_deadline = 0;  // of all classes
 };
 
 class ClientFront {
@@ -34,17 +36,20 @@
   EventPtr<evconnlistener> Open(const Endpoint& listen);
   int port() const;  // the one it listens on, which the kernel chose if the endpoint had none
   void Reply(std::uint64_t client, const FinalAnswer& answer);
+  // Whether a client with a request in hand has ended its connection, read or not.
+  bool HasLeft(std::uint64_t client) const;
 
   // From now on connections end between requests; new ones are still taken.
   void BeginDrain();
-  // No connection open, and so no request in hand.
-  bool Quiet() const { return connections_.empty(); }
+  // No request in hand, and nobody left to whom an answer is still on its way.
+  bool Quiet() const;
   Micros SinceLastAccept() const { return SteadyNow() - last_accept_; }
 
  private:
   class Connection;
 
   static void OnAccept(evconnlistener* listener, evutil_socket_t fd, sockaddr* peer, int size, void* self);
+  static void OnAcceptFailed(evconnlistener* listener, void* self);
   void Remove(Connection* connection);
   // One that the front answers itself: counted by the core, and told in the log.
   void TurnedAway(int status, const std::string& why, const std::string& id);
@@ -52,7 +57,12 @@
   // Ends the connection that can best be spared for the next newcomer; false if there is none.
   bool MakeRoom();
   void MindTheDoor();
+  void ShutDoor();  // for a moment
   void CloseIdle();
+  // After SIGTERM: when all answers have to be out, and how long from now a request that comes so late has;
+  // nothing for one that comes in time.
+  Micros AnswerBy() const;
+  std::optional<Micros> LeftWhileDraining() const;
 
   event_base* base_;
   ClientFrontSettings s_;
--- a/tests/daemon/client_crossings_test.cpp
+++ b/tests/daemon/client_crossings_test.cpp
@@ -4,10 +4,14 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
+#include <chrono>
+#include <filesystem>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "daemon_under_test.h"
@@ -17,6 +21,7 @@
 namespace {
 
 using tools::Socket;
+using Clock = std::chrono::steady_clock;
 
 constexpr int kPatienceMs = 15'000;
 
@@ -63,9 +68,10 @@
   return heard;
 }
 
-std::string Request(const std::string& id, const std::string& body = "", int deadline_ms = 20'000) {
-  return "POST /cobro HTTP/1.1\r\nHost: a\r\nReq-Id: " + id +
-         "\r\nReq-Kind: cobro\r\nReq-Owner: hogar-del-sur\r\nReq-Deadline: " + std::to_string(deadline_ms) +
+std::string Request(const std::string& id, const std::string& body = "", int deadline_ms = 20'000,
+                    const std::string& klass = "cobro") {
+  return "POST /" + klass + " HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: " + klass +
+         "\r\nReq-Owner: hogar-del-sur\r\nReq-Deadline: " + std::to_string(deadline_ms) +
          "m\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -84,7 +90,8 @@
                                    {"state", "SERVING"}}};
     // No job waits for its tokens here.
     for (auto& tenant : config["settings"]["tenants"]) tenant["quotaPerS"] = 1000.0;
-    for (const auto& [pointer, value] : changes.items()) config[nlohmann::json::json_pointer(pointer)] = value;
+    for (const auto& [pointer, value] : changes.items())
+      config[nlohmann::json::json_pointer(pointer)] = value;
     daemon.emplace(config, nlohmann::json::object());
     REQUIRE(daemon->ports().contains("http"));
   }
@@ -97,8 +104,8 @@
   }
   static void Done(const Socket& execution, const std::string& id) {
     const std::string line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"ran " + id + "\"}\n";
-    REQUIRE(Send(execution, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(line.size()) + "\r\n\r\n" +
-                                line));
+    REQUIRE(Send(execution,
+                 "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(line.size()) + "\r\n\r\n" + line));
   }
   bool NothingSentOn() const { return !Readable(worker, 0); }
 
@@ -168,5 +175,287 @@
   CHECK(heard.text.ends_with("ran r1"));
 }
 
+// ---- What comes in one moment ----
+
+// Until the daemon holds so many descriptors: it has accepted.
+void AwaitDescriptors(const Rig& rig, long count) {
+  const std::filesystem::path folder = "/proc/" + std::to_string(rig.daemon->pid()) + "/fd";
+  while (std::distance(std::filesystem::directory_iterator(folder), {}) < count) std::this_thread::yield();
+}
+long Descriptors(const Rig& rig) {
+  const std::filesystem::path folder = "/proc/" + std::to_string(rig.daemon->pid()) + "/fd";
+  return std::distance(std::filesystem::directory_iterator(folder), {});
+}
+
+TEST_CASE("nothing is sent on for a client whose end comes with its whole request") {
+  for (const bool reset : {false, true}) {
+    CAPTURE(reset);
+    Rig rig;
+    Socket client = rig.Connect();
+    const long before = Descriptors(rig);
+    REQUIRE(Send(client, kReady));
+    REQUIRE(Hear(client, "ready\n").text.starts_with(kServed));
+    CHECK(Descriptors(rig) <= before + 1);
+    rig.daemon->Stop();
+    REQUIRE(Send(client, Request("r1")));
+    reset ? Reset(&client) : client.Close();
+    rig.daemon->Signal(SIGCONT);
+    rig.daemon->Signal(SIGTERM);
+    CHECK(rig.daemon->Wait() == 0);  // not before it has let go of the client
+    CHECK(rig.NothingSentOn());
+  }
+}
+
+TEST_CASE("no further attempt begins for a client whose end comes with the loss of the attempt before") {
+  const Socket one = tools::ListenOn(0), two = tools::ListenOn(0);
+  nlohmann::json servers;
+  for (const Socket* listener : {&one, &two})
+    servers.push_back({{"id", "s-" + std::to_string(servers.size())},
+                       {"addr", "127.0.0.1:" + std::to_string(tools::PortOf(*listener))},
+                       {"zone", "quilicura"},
+                       {"state", "SERVING"}});
+  Rig rig(nlohmann::json{{"/known/servers", servers}});
+  Socket client = rig.Connect();
+  REQUIRE(Send(client, Request("r1", "", 9'000, "certificado")));  // may be sent again
+  pollfd both[] = {{one.fd(), POLLIN, 0}, {two.fd(), POLLIN, 0}};
+  REQUIRE(poll(both, 2, kPatienceMs) == 1);
+  Socket execution = Accept(both[0].revents != 0 ? one : two);
+  REQUIRE(!Hear(execution, "\r\n\r\n").text.empty());
+  rig.daemon->Stop();
+  execution.Close();
+  client.Close();
+  rig.daemon->Signal(SIGCONT);
+  rig.daemon->Signal(SIGTERM);
+  CHECK(rig.daemon->Wait() == 0);
+  CHECK(poll(both, 2, 0) == 0);
+}
+
+TEST_CASE("the first request on a connection is read though its time is over in the same moment") {
+  Rig rig;
+  const long before = Descriptors(rig);
+  const Socket client = rig.Connect();
+  AwaitDescriptors(rig, before + 1);
+  rig.daemon->Stop();
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'600));  // longer than a request may take to come
+  REQUIRE(Send(client, kReady));
+  rig.daemon->Signal(SIGCONT);
+  CHECK(Hear(client, "ready\n").text.starts_with(kServed));
+}
+
+int Count(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++count;
+  return count;
+}
+
+// ---- SIGTERM ----
+
+TEST_CASE("what crosses the close of an idle connection is not sent on, and resets nothing") {
+  Rig rig;
+  const Socket client = rig.Connect();
+  REQUIRE(Send(client, kReady));
+  REQUIRE(Hear(client, "ready\n").text.starts_with(kServed));
+  rig.daemon->Signal(SIGTERM);
+  REQUIRE(Readable(client));  // its end, which this client has not looked at
+  CHECK(Send(client, Request("r1", "whole")));
+  CHECK(Send(client, Request("r2", "whole")));  // it would fail after a reset
+  const Heard heard = Hear(client);
+  CHECK(heard.text.empty());
+  CHECK(heard.end == End::kClosed);
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(client.fd(), SOL_SOCKET, SO_ERROR, &error, &size);
+  CHECK(error == 0);
+  CHECK(rig.daemon->Wait() == 0);  // though the client keeps its side open
+  CHECK(rig.NothingSentOn());
+}
+
+TEST_CASE("a second request behind the one in hand is not taken once the daemon is told to end") {
+  Rig rig;
+  const Socket client = rig.Connect();
+  REQUIRE(Send(client, Request("r1")));
+  const Socket execution = rig.Execution("r1");
+  REQUIRE(Send(client, Request("r2")));
+  for (const int number : {SIGTERM, SIGTERM, SIGHUP}) rig.daemon->Signal(number);
+  REQUIRE(rig.daemon->Logs("draining"));
+  Rig::Done(execution, "r1");
+  const Heard heard = Hear(client);
+  CHECK(heard.end == End::kClosed);
+  CHECK(heard.text.starts_with(kServed + "Connection: close\r\n"));
+  CHECK(Count(heard.text, "HTTP/1.1 ") == 1);
+  CHECK(rig.daemon->Wait() == 0);
+  CHECK(rig.NothingSentOn());
+}
+
+TEST_CASE("half a request comes whole during the drain: it is answered before SIGKILL may come") {
+  Rig rig;
+  const Socket client = rig.Connect();
+  const std::string request = Request("r1", "half, and the rest");
+  REQUIRE(Send(client, request.substr(0, request.size() - 8)));
+  const auto signalled = Clock::now();
+  rig.daemon->Signal(SIGTERM);
+  REQUIRE(rig.daemon->Logs("draining"));
+  std::this_thread::sleep_until(signalled + std::chrono::milliseconds(800));  // when it counts as late
+  REQUIRE(Send(client, request.substr(request.size() - 8)));
+  const Socket execution = rig.Execution("r1");
+  // The worker does not answer. By its own word the client waits for 20 s, SIGKILL comes after 3.7 s.
+  const Heard heard = Hear(client);
+  CHECK(heard.text.starts_with("HTTP/1.1 504 Gateway Timeout\r\nConnection: close\r\n"));
+  CHECK(rig.daemon->Wait() == 0);
+  CHECK(Clock::now() - signalled < std::chrono::seconds(10));
+}
+
+// All classes have this deadline.
+nlohmann::json Deadlines(std::int64_t micros) {
+  nlohmann::json changes;
+  for (const char* klass : {"0", "1", "2"})
+    changes["/settings/grades/" + std::string(klass) + "/deadline"] = micros;
+  return changes;
+}
+
+TEST_CASE("a request that comes whole too late in the drain is refused at once") {
+  Rig rig(Deadlines(400'000));
+  const Socket client = rig.Connect();
+  const std::string request = Request("r1", "half, and the rest", 400);
+  REQUIRE(Send(client, request.substr(0, request.size() - 8)));
+  rig.daemon->Signal(SIGTERM);
+  REQUIRE(rig.daemon->Logs("draining"));
+  // It stands still past the time when all answers have to be out, so that the rest and the end of that time
+  // come in one moment.
+  rig.daemon->Stop();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'000));
+  REQUIRE(Send(client, request.substr(request.size() - 8)));
+  rig.daemon->Signal(SIGCONT);
+  const Heard heard = Hear(client);
+  CHECK(heard.text.starts_with("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: "));
+  CHECK(heard.end == End::kClosed);
+  CHECK(rig.daemon->Wait() == 0);
+  CHECK(rig.NothingSentOn());
+}
+
+TEST_CASE("half a request that never comes whole does not hold up the drain of short deadlines") {
+  Rig rig(Deadlines(100'000));
+  const Socket client = rig.Connect();
+  const auto began = Clock::now();
+  REQUIRE(Send(client, Request("r1", "half").substr(0, 40)));
+  rig.daemon->Signal(SIGTERM);
+  CHECK(Hear(client).text.starts_with("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"));
+  CHECK(rig.daemon->Wait() == 0);
+  CHECK(Clock::now() - began <
+        std::chrono::milliseconds(2'300));  // what half a request has otherwise is 2.4 s
+}
+
+TEST_CASE("a client that never closes and one that reads late do not keep the drain, and lose nothing") {
+  Rig rig;
+  const Socket late = rig.Connect();
+  REQUIRE(Send(late, Request("r1")));
+  const Socket execution = rig.Execution("r1");
+  rig.daemon->Signal(SIGTERM);
+  REQUIRE(rig.daemon->Logs("draining"));
+  Rig::Done(execution, "r1");
+  CHECK(rig.daemon->Wait() == 0);
+  const Heard heard = Hear(late);
+  CHECK(heard.text.starts_with(kServed + "Connection: close\r\n"));
+  CHECK(heard.text.ends_with("ran r1"));
+}
+
+TEST_CASE("a newcomer from right before SIGTERM is served") {
+  constexpr auto kSoon = std::chrono::milliseconds(400);  // of the grace that newcomers have
+  for (int tries = 0;; ++tries) {
+    Rig rig;
+    const long before = Descriptors(rig);
+    const Socket client = rig.Connect();
+    const auto came = Clock::now();
+    AwaitDescriptors(rig, before + 1);
+    rig.daemon->Signal(SIGTERM);
+    REQUIRE(rig.daemon->Logs("draining"));
+    const bool sent = Send(client, kReady);
+    if (Clock::now() - came > kSoon && tries < 20) continue;  // the machine was too slow to tell
+    CHECK(sent);
+    CHECK(Hear(client).text.starts_with(kServed + "Connection: close\r\n"));
+    CHECK(rig.daemon->Wait() == 0);
+    break;
+  }
+}
+
+// ---- Descriptors ----
+
+TEST_CASE("descriptors that are spent do not make the daemon spin, and newcomers are served later") {
+  Rig rig;
+  std::vector<Socket> clients;
+  std::vector<Socket> executions;
+  // Until its descriptors lie without a gap: the next connection cannot be accepted then.
+  const auto least_free = [&] {
+    int fd = 0;
+    while (std::filesystem::exists(std::filesystem::symlink_status(
+        "/proc/" + std::to_string(rig.daemon->pid()) + "/fd/" + std::to_string(fd))))
+      ++fd;
+    return fd;
+  };
+  do {
+    clients.push_back(rig.Connect());
+    const std::string id = "r" + std::to_string(clients.size());
+    REQUIRE(Send(clients.back(), Request(id)));
+    executions.push_back(rig.Execution(id));
+  } while (least_free() < Descriptors(rig));
+  rlimit most{};
+  REQUIRE(prlimit(rig.daemon->pid(), RLIMIT_NOFILE, nullptr, &most) == 0);
+  most.rlim_cur = static_cast<rlim_t>(Descriptors(rig));
+  REQUIRE(prlimit(rig.daemon->pid(), RLIMIT_NOFILE, &most, nullptr) == 0);
+  const Socket newcomer = rig.Connect();
+  REQUIRE(Send(newcomer, kReady));
+  CHECK(!Readable(newcomer, 500));
+  for (Socket& client : clients) client.Close();
+  CHECK(Hear(newcomer, "ready\n").text.starts_with(kServed));
+  rig.daemon->Signal(SIGTERM);
+  CHECK(rig.daemon->Wait() == 0);
+  CHECK(Count(rig.daemon->log(), "\n") < 200);
+}
+
+TEST_CASE("idle, silent and bad clients fill the table while discovery is down: a good one is served") {
+  const Socket closed = tools::ListenOn(0);
+  const std::uint16_t nowhere = tools::PortOf(closed);
+  shutdown(closed.fd(), SHUT_RDWR);
+  Rig rig(nlohmann::json{{"/limits/sockets", 64}, {"/discovery", "127.0.0.1:" + std::to_string(nowhere)}});
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 60; ++i) {
+    crowd.push_back(rig.Connect());
+    switch (i % 4) {
+      case 0:
+        REQUIRE(Send(crowd.back(), kReady));
+        break;
+      case 1:
+        static_cast<void>(Send(crowd.back(), "hello\r\n\r\n"));
+        break;
+      case 2:
+        static_cast<void>(Send(crowd.back(), "POST /cobro HTTP/1.1\r\n"));
+        break;
+      default:
+        break;
+    }
+  }
+  const Socket good = rig.Connect();
+  REQUIRE(Send(good, Request("r1")));
+  Rig::Done(rig.Execution("r1"), "r1");
+  CHECK(Hear(good, "ran r1").text.starts_with(kServed));
+}
+
+// ---- Ready ----
+
+TEST_CASE("with discovery down or silent at the start it is ready, and able to serve by what it remembers") {
+  const Socket silent = tools::ListenOn(0);
+  for (const bool down : {false, true}) {
+    CAPTURE(down);
+    if (down) shutdown(silent.fd(), SHUT_RDWR);
+    Rig rig(nlohmann::json{{"/discovery", "127.0.0.1:" + std::to_string(tools::PortOf(silent))}});
+    const Socket client = rig.Connect();
+    REQUIRE(Send(client, kReady));
+    CHECK(Hear(client, "ready\n").text.starts_with(kServed));
+    REQUIRE(Send(client, Request("r1")));
+    Rig::Done(rig.Execution("r1"), "r1");
+    CHECK(Hear(client, "ran r1").text.starts_with(kServed));
+  }
+}
+
 }  // namespace
 }  // namespace aldersill::tests
