Send on resting connections in the moment of SIGTERM, in the rig of many processes

Nothing in the rig used a connection twice, so no request could cross a drain's close. With the fault resting_requests, forty clients have connections that were answered on and rest; SIGTERM and half of their requests go out in one turn of the rig's loop, the rest within 40 ms. One that gets no answer on its closed connection is asked again at another dispatcher, as the protocol has it; it is a break if the closing dispatcher sent it on, before or after.

--- a/tests/fleet/checker.cpp
+++ b/tests/fleet/checker.cpp
@@ -12,6 +12,7 @@
 using What = Seen::What;
 
 constexpr int kBegunLateBreaks = 3, kFewestSentOn = 5;
+const std::string kClosedAndSent = "sent on by a dispatcher that closed its connection with no answer";
 
 struct Story {
   std::string klass;
@@ -22,6 +23,7 @@
   std::optional<std::int64_t> over;  // answered or left: its attempts are to be stopped
   bool waited = false;               // left before its first attempt
   std::set<std::uint64_t> out;
+  std::set<int> crossed;  // dispatchers that closed its connection
   std::set<std::string> results;
 };
 
@@ -142,9 +144,9 @@
 }  // namespace
 
 const char* Name(What what) {
-  constexpr const char* kNames[] = {"asked", "answered",  "broken",    "left",    "attempt", "attempt end",
-                                    "ran",   "result",    "killed",    "started", "resumed", "changed",
-                                    "told",  "reachable", "restarted", "holds",   "end"};
+  constexpr const char* kNames[] = {"asked",       "crossed", "answered",  "broken",    "left",    "attempt",
+                                    "attempt end", "ran",     "result",    "killed",    "started", "resumed",
+                                    "changed",     "told",    "reachable", "restarted", "holds",   "end"};
   return kNames[static_cast<std::size_t>(what)];
 }
 
@@ -198,7 +200,7 @@
     Story& story = stories[s.request];
     switch (s.what) {
       case What::kAsked:
-        if (known) broken("asked twice under one id (the rig's own fault)", s);
+        if (known && story.crossed.empty()) broken("asked twice under one id (the rig's own fault)", s);
         story.klass = s.klass;
         story.dispatcher = s.dispatcher;
         story.until = s.until;
@@ -218,6 +220,11 @@
           ++(s.status == 429 || s.status == 503 ? j.refused : j.failed);
         }
         break;
+      case What::kCrossed:
+        if (story.attempts > 0) broken(kClosedAndSent, s);
+        story.crossed.insert(s.dispatcher);
+        story.dispatcher = -1;
+        break;
       case What::kBroken:
         story.broken = true;
         break;
@@ -230,6 +237,7 @@
       case What::kAttempt:
         if (!known) broken("sent, and never asked for", s);
         ++j.attempts;
+        if (story.crossed.contains(s.dispatcher)) broken(kClosedAndSent, s);
         if (story.left && s.at > *story.over + rules.gone_after + rules.slack &&
             ++j.begun_late >= kBegunLateBreaks)
           broken("an attempt began after its client had left, the third or a later one", s);
--- a/tests/fleet/checker.h
+++ b/tests/fleet/checker.h
@@ -14,6 +14,8 @@
 struct Seen {
   enum class What {
     kAsked,       // a client's request went out whole; it waits until `until`
+    kCrossed,     // its resting connection was closed by `dispatcher` with no byte of an answer; it is asked
+                  // again
     kAnswered,    // and got its answer: `status`, `text`
     kBroken,      // its connection ended or its patience did, without one
     kLeft,        // the client went away by itself
--- a/tests/fleet/checker_test.cpp
+++ b/tests/fleet/checker_test.cpp
@@ -278,6 +278,22 @@
   CHECK(ready(8, 1, 0) == "restarted dispatchers not ready in time: 1 of 9");
 }
 
+TEST_CASE(
+    "a request that crosses the close of its resting connection is asked again, if it was not sent on") {
+  std::vector<Seen> seen = Good("cobro");
+  seen.insert(seen.begin(), {Asked("a", "cobro"), Of(What::kCrossed)});
+  for (std::size_t i = 2; i < seen.size(); ++i) seen[i].dispatcher = 1;
+  CHECK(FirstBroken(seen) == "");
+  const std::string broken = "sent on by a dispatcher that closed its connection with no answer: a";
+  std::vector<Seen> before = seen, after = seen;
+  before.insert(before.begin() + 1, {Of(What::kAttempt, "a", 8), Of(What::kAttemptEnd, "a", 8)});
+  CHECK(FirstBroken(before) == broken);
+  after.insert(after.begin() + 3, {Of(What::kAttempt, "a", 8), Of(What::kAttemptEnd, "a", 8)});
+  CHECK(FirstBroken(after) == broken);
+  // One that is not asked again is not owed an answer.
+  CHECK(FirstBroken({Asked("a", "cobro"), Of(What::kCrossed)}) == "");
+}
+
 TEST_CASE("classes that may run again are not held to one run") {
   std::vector<Seen> seen = Good("certificado");
   seen.insert(seen.begin() + 5, Of(What::kRan));
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -35,6 +35,7 @@
 constexpr Micros kAgreeWithin = 30 * kSecond;
 constexpr Micros kIdleAgain = 50 * kMillisecond;
 constexpr std::size_t kFlood = 256 * 1024;
+constexpr int kRestMs = 200;
 
 std::int64_t UnixMs() {
   using std::chrono::duration_cast, std::chrono::milliseconds, std::chrono::system_clock;
@@ -113,8 +114,12 @@
   struct Client {
     Play_* play = nullptr;
     std::string id;
-    EventPtr<evhttp_connection> connection;
+    EventPtr<evhttp_connection> before, connection;
     int dispatcher = -1;
+    const JobClass* job_class = nullptr;
+    std::string tenant;
+    int deadline_ms = 0;
+    bool rests = false;  // on a connection that has been answered on
     bool over = false;
   };
   struct IdleClient {
@@ -495,7 +500,8 @@
         later([trouble, undo] { undo(trouble); });
       }
     };
-    const bool on_process = f.kind <= FaultKind::kPause || f.kind == FaultKind::kMove;
+    const bool on_process =
+        f.kind <= FaultKind::kPause || f.kind == FaultKind::kMove || f.kind == FaultKind::kRestingRequests;
     if (on_process && daemon.state != State::kUp) return;  // it has its trouble already
     ++run_.carried_out;
     switch (f.kind) {
@@ -592,6 +598,9 @@
           if (client->dispatcher == f.dispatcher) Leave(client.get(), f.amount);
         }
         break;
+      case FaultKind::kRestingRequests:
+        CrossTheClose(f);
+        break;
       case FaultKind::kIdleClients:
         for (int i = 0; i < f.amount; ++i) {
           auto& c = idle_.emplace_back(std::make_unique<IdleClient>());
@@ -651,21 +660,43 @@
     }
     if (up.empty()) return;
     const int d = up[draw % up.size()];
-    auto& client = clients_.emplace_back(std::make_unique<Client>());
+    Client* client = AddClient(job_class, tenant, deadline_ms, number, d);
+    ++waiting_;
+    if (leaves) At(leaves_ms, [this, client] { Leave(client, 0); });
+    Post(client);
+  }
+
+  Client* AddClient(const JobClass& job_class, const std::string& tenant, int deadline_ms, int number,
+                    int d) {
+    Client* client = clients_.emplace_back(std::make_unique<Client>()).get();
     client->play = this;
-    client->dispatcher = d;
     client->id = job_class.name + "-" + std::to_string(number);
+    client->job_class = &job_class;
+    client->tenant = tenant;
+    client->deadline_ms = deadline_ms;
+    Connect(client, d);
+    return client;
+  }
+
+  void Connect(Client* client, int d) {
+    client->dispatcher = d;
+    // The one before may be in its callback still.
+    client->before = std::move(client->connection);
     client->connection.reset(evhttp_connection_base_new(base_.get(), nullptr, "127.0.0.1",
                                                         daemons_[d].process->ports().at("http")));
     evhttp_connection_set_retries(client->connection.get(), 0);
     evhttp_connection_set_timeout(client->connection.get(), static_cast<int>(kClientPatience / kSecond));
-    evhttp_request* request = evhttp_request_new(&Play_::OnAnswer, client.get());
+  }
+
+  void Post(Client* client) {
+    const JobClass& job_class = *client->job_class;
+    evhttp_request* request = evhttp_request_new(&Play_::OnAnswer, client);
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", "origin.svc");
     evhttp_add_header(headers, "Req-Id", client->id.c_str());
     evhttp_add_header(headers, "Req-Kind", job_class.name.c_str());
-    evhttp_add_header(headers, "Req-Owner", tenant.c_str());
-    evhttp_add_header(headers, "Req-Deadline", (std::to_string(deadline_ms) + "m").c_str());
+    evhttp_add_header(headers, "Req-Owner", client->tenant.c_str());
+    evhttp_add_header(headers, "Req-Deadline", (std::to_string(client->deadline_ms) + "m").c_str());
     if (job_class.keyed) evhttp_add_header(headers, "Idempotency-Key", client->id.c_str());
     if (deployment_.figures) {
       evhttp_add_header(headers, "Req-Cost",
@@ -673,20 +704,71 @@
       evhttp_add_header(headers, "Req-Extra", "slots=1,memory=0.6");
     }
     evhttp_add_header(headers, "Connection", "close");
-    See(What::kAsked, client->id, job_class.name, d).until =
-        Now() + deadline_ms * kMillisecond + kAnswerSlack;
-    ++waiting_;
-    if (leaves) At(leaves_ms, [this, c = client.get()] { Leave(c, 0); });
+    See(What::kAsked, client->id, job_class.name, client->dispatcher).until =
+        Now() + client->deadline_ms * kMillisecond + kAnswerSlack;
     const std::string path = "/" + job_class.name;
     if (evhttp_make_request(client->connection.get(), request, EVHTTP_REQ_POST, path.c_str()) != 0)
-      Over(client.get());
+      Over(client);
+  }
+
+  // Clients whose connections rest, and which send in the moment of SIGTERM and after.
+  void CrossTheClose(const Fault& f) {
+    std::vector<Client*> resting;
+    for (int i = 0; i < f.amount; ++i) {
+      Client* c = AddClient(deployment_.classes[i % deployment_.classes.size()],
+                            deployment_.tenants[i % deployment_.tenants.size()], kMostDeadlineMs,
+                            table_.requests + ++resting_, f.dispatcher);
+      c->rests = true;
+      resting.push_back(c);
+      evhttp_request* request = evhttp_request_new([](evhttp_request*, void*) {}, nullptr);
+      evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "origin.svc");
+      evhttp_make_request(c->connection.get(), request, EVHTTP_REQ_GET, "/-/ready");
+    }
+    At(kRestMs, [this, f, resting] {
+      Daemon& daemon = daemons_[f.dispatcher];
+      if (daemon.state != State::kUp) return;  // it has its trouble already
+      daemon.state = State::kEnding;
+      After(10, [this, &daemon, f, resting] {
+        const auto send = [this](Client* c) {
+          ++waiting_;
+          Post(c);
+        };
+        for (std::size_t i = 0; i < resting.size(); ++i) {
+          if (i == resting.size() / 2) daemon.process->Signal(SIGTERM);
+          if (i % 4 != 3) {
+            send(resting[i]);
+          } else {
+            At(static_cast<int>(i) * f.for_ms / f.amount, [send, c = resting[i]] { send(c); });
+          }
+        }
+      });
+    });
+  }
+
+  // It got no byte of an answer on a connection that had rested: once more, elsewhere.
+  bool AskElsewhere(Client* client) {
+    if (!std::exchange(client->rests, false)) return false;
+    const int from = client->dispatcher;
+    See(What::kCrossed, client->id, "", from);
+    for (int i = 1; i < table_.dispatchers; ++i) {
+      const int d = (from + i) % table_.dispatchers;
+      if (daemons_[d].state != State::kUp) continue;
+      ++run_.crossed;
+      Connect(client, d);
+      Post(client);
+      return true;
+    }
+    return false;
   }
 
   static void OnAnswer(evhttp_request* request, void* arg) {
     auto* client = static_cast<Client*>(arg);
     if (client->over) return;
     const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
-    if (status == 0) return client->play->Over(client);
+    if (status == 0) {
+      if (!client->play->AskElsewhere(client)) client->play->Over(client);
+      return;
+    }
     evbuffer* body = evhttp_request_get_input_buffer(request);
     std::string text(evbuffer_get_length(body), '\0');
     evbuffer_copyout(body, text.data(), text.size());
@@ -769,7 +851,7 @@
   EventPtr<event_base> base_;
   Run run_;
   std::uint64_t attempts_ = 0;
-  int runs_ = 0, jobs_at_workers_ = 0, waiting_ = 0;
+  int runs_ = 0, jobs_at_workers_ = 0, waiting_ = 0, resting_ = 0;
   std::map<int, Job> at_work_;  // before the workers, whose end is told to it
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<std::vector<std::unique_ptr<Relay>>> links_;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -18,6 +18,7 @@
   bool agreed = true;   // where they know one another: in the end all did, one held the duty, each worker was
                         // one's to probe
   int datagrams = 0;
+  int crossed = 0;   // requests on resting connections that were closed with no answer
   int flooded = 0;   // clients that sent much and left
   int bad_ends = 0;  // dispatchers that ended by themselves other than with 0 after SIGTERM
   double seconds = 0.0;
--- a/tests/fleet/main.cpp
+++ b/tests/fleet/main.cpp
@@ -44,14 +44,12 @@
   if (tell)
     std::printf(
         "seed %llu, %s: %d asked, %d served, %d refused, %d failed, %d left, %d with their dispatcher "
-        "killed; "
-        "%d attempts, %d runs, %d faults, %d datagrams, %d terms, %d left while they waited, %d flooding, %d "
-        "attempts "
-        "after that, cold workers got %.2f of what they bear, %d of %d restarted not ready in time, %.1f "
-        "s%s\n",
+        "killed; %d attempts, %d runs, %d faults, %d datagrams, %d terms, %d left while they waited, %d "
+        "flooding, %d crossing a close, %d attempts after leaving, cold workers got %.2f of what they bear, "
+        "%d of %d restarted not ready in time, %.1f s%s\n",
         static_cast<unsigned long long>(table.seed), table.deployment.c_str(), j.asked, j.served, j.refused,
         j.failed, j.left, j.excused, j.attempts, j.ran, run.carried_out, run.datagrams, j.terms, j.waited,
-        run.flooded, j.begun_late, j.cold_most, j.unready, j.restarts, run.seconds,
+        run.flooded, run.crossed, j.begun_late, j.cold_most, j.unready, j.restarts, run.seconds,
         j.broken.empty() ? "" : ": BROKEN");
   for (std::size_t k = 0; tell && k < std::min(j.broken.size(), kMostLines); ++k) {
     std::printf("  %s\n", j.broken[k].c_str());
--- a/tests/fleet/timetable.cpp
+++ b/tests/fleet/timetable.cpp
@@ -11,11 +11,32 @@
 namespace aldersill::fleet {
 namespace {
 
-constexpr std::array<const char*, 25> kKinds = {
-    "kill",        "terminate",    "pause",      "cut_there", "cut_back",     "delay",   "trickle",
-    "reset",       "hang",         "drain",      "silence",   "move",         "down",    "list_errors",
-    "list_losses", "list_refused", "late",       "leave",     "idle_clients", "udp_cut", "udp_thin",
-    "udp_delay",   "udp_reorder",  "udp_double", "udp_stray"};
+constexpr std::array<const char*, 26> kKinds = {"kill",
+                                                "terminate",
+                                                "pause",
+                                                "cut_there",
+                                                "cut_back",
+                                                "delay",
+                                                "trickle",
+                                                "reset",
+                                                "hang",
+                                                "drain",
+                                                "silence",
+                                                "move",
+                                                "down",
+                                                "list_errors",
+                                                "list_losses",
+                                                "list_refused",
+                                                "late",
+                                                "leave",
+                                                "resting_requests",
+                                                "idle_clients",
+                                                "udp_cut",
+                                                "udp_thin",
+                                                "udp_delay",
+                                                "udp_reorder",
+                                                "udp_double",
+                                                "udp_stray"};
 constexpr std::array<const char*, 4> kCrossings = {"none", "leaving", "cold", "idle"};
 
 bool OfDatagrams(FaultKind kind) { return kind >= FaultKind::kUdpCut; }
@@ -63,6 +84,7 @@
       const int at_ms = Between(random, 800, 1'500);
       for (int i = 0; i < 2; ++i) add(FaultKind::kHang, at_ms - 100, 0, (worker + i) % table->workers, 800);
       for (int i = 0; i < 3; ++i) add(FaultKind::kTerminate, at_ms + 50 * i, first + i, -1, 0);
+      add(FaultKind::kRestingRequests, at_ms, first + 3, -1, 40, 40);
       break;
     }
     case 5: {
--- a/tests/fleet/timetable.h
+++ b/tests/fleet/timetable.h
@@ -44,7 +44,9 @@
   kLate,         // the link's new connections come up a second after they were asked for
   kLeave,  // clients that wait for the dispatcher leave, by `amount`: 0 a close, 1 a reset, 2 and 3 the same
            // after much that nobody asked for
-  kIdleClients,  // `amount` clients connect and send nothing, or half a head, and come again when closed
+  kRestingRequests,  // `amount` clients have connections that rest; then SIGTERM, and in that moment and for
+                     // `for_ms` they send requests; sent again elsewhere where they get no byte of an answer
+  kIdleClients,      // `amount` clients connect and send nothing, or half a head, and come again when closed
   // Of the datagrams from the dispatcher to another, the `peer`, -1 for all, for `for_ms`:
   kUdpCut,      // none passes
   kUdpThin,     // `amount` percent are lost
