--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <chrono>
 #include <deque>
@@ -31,7 +33,9 @@
 constexpr Micros kLateLook = 20 * kMillisecond;  // of a look round: by more, and the rig itself stood still
 constexpr Micros kAskEvery = 100 * kMillisecond;
 constexpr Micros kAgreeWithin = 30 * kSecond;
-constexpr double kSlots = 16.0;  // that a worker has, by its reports
+constexpr Micros kIdleAgain = 50 * kMillisecond;
+constexpr std::size_t kFlood = 256 * 1024;
+constexpr int kRestMs = 200;
 
 std::int64_t UnixMs() {
   using std::chrono::duration_cast, std::chrono::milliseconds, std::chrono::system_clock;
@@ -66,6 +70,9 @@
       At(i * table_.length_ms / table_.requests, [this, i] { Ask(i); });
     LookAgain();
     event_base_dispatch(base_.get());
+    for (const Daemon& daemon : daemons_) {
+      if (daemon.restarted != 0) See(What::kRestarted, "");
+    }
     See(What::kEnd, "");
     for (auto& daemon : daemons_) daemon.process.reset();
     if (datagrams_ != nullptr) run_.datagrams = datagrams_->carried() + datagrams_->dropped();
@@ -86,6 +93,10 @@
     bool knows_all = false;                     // by its last answer
     bool holds = false;
     int owned = 0, probed = 0;  // workers that it probes, that all of them probe
+    Play_* play = nullptr;
+    EventPtr<evhttp_connection> ready;  // asks whether it is
+    bool asking = false;
+    Micros restarted = 0;  // and not ready yet
     State state = State::kDown;
   };
   struct Worker {
@@ -103,9 +114,22 @@
   struct Client {
     Play_* play = nullptr;
     std::string id;
-    EventPtr<evhttp_connection> connection;
+    EventPtr<evhttp_connection> before, connection;
+    int dispatcher = -1;
+    const JobClass* job_class = nullptr;
+    std::string tenant;
+    int deadline_ms = 0;
+    bool rests = false;  // on a connection that has been answered on
     bool over = false;
   };
+  struct IdleClient {
+    Play_* play = nullptr;
+    int dispatcher = -1;
+    bool half = false;  // sends half a head
+    Micros until = 0;
+    EventPtr<bufferevent> stream;
+    std::unique_ptr<Timer> again;
+  };
 
   // Stands still while the rig does: what it sees late would look late.
   Micros Now() const {
@@ -197,9 +221,9 @@
     job.done->Set(ms * kMillisecond);
   }
 
-  static nlohmann::json Report(const Worker& worker) {
-    const double free = std::max(0.0, kSlots - worker.busy);
-    return {{"svc_ms", 30.0}, {"cpu_share", 1.0 - free / kSlots}, {"x0", free}, {"x1", free}};
+  nlohmann::json Report(const Worker& worker) const {
+    const double slots = deployment_.slots, free = std::max(0.0, slots - worker.busy);
+    return {{"svc_ms", 30.0}, {"cpu_share", 1.0 - free / slots}, {"x0", free}, {"x1", free}};
   }
 
   // A line of a job's answer, if its connection is still there.
@@ -285,7 +309,10 @@
     down_ += down ? 1 : -1;
     if (down_ > 1 || (down && down_ == 0)) return;
     for (auto& of_dispatcher : discoveries_) of_dispatcher.back()->Down(down_ > 0);
-    for (int d = 0; d < table_.dispatchers; ++d) NoteAgents(d);
+    for (int d = 0; d < table_.dispatchers; ++d) {
+      See(What::kReachable, "", "", d, 0, down_ > 0 ? 0 : 1);
+      NoteAgents(d);
+    }
     while (down_ == 0 && !changes_.empty()) {
       const auto [worker, state] = changes_.front();
       changes_.pop_front();
@@ -396,6 +423,9 @@
     daemon.members.reset();
     daemon.knows_all = daemon.holds = false;
     daemon.owned = 0;
+    daemon.restarted = daemon.play != nullptr ? SteadyNow() : 0;
+    daemon.play = this;
+    daemon.asking = false;
     daemon.process = std::make_unique<tests::DaemonUnderTest>(daemon.config, daemon.own, "ALDERSILL_SETTINGS",
                                                               " serving ", program_);
     if (!daemon.process->ports().contains("http")) throw std::runtime_error("a dispatcher did not start");
@@ -405,6 +435,47 @@
     NoteAgents(d);
   }
 
+  // A question at a time, until the answer is yes.
+  void AskReady(Daemon* daemon) {
+    if (daemon->restarted == 0 || daemon->asking || daemon->process == nullptr) return;
+    daemon->asking = true;
+    daemon->ready.reset(
+        evhttp_connection_base_new(base_.get(), nullptr, "127.0.0.1", daemon->process->ports().at("http")));
+    evhttp_connection_set_timeout(daemon->ready.get(), 1);
+    evhttp_request* request = evhttp_request_new(&Play_::OnReady, daemon);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "origin.svc");
+    if (evhttp_make_request(daemon->ready.get(), request, EVHTTP_REQ_GET, "/-/ready") != 0)
+      daemon->asking = false;
+  }
+
+  static void OnReady(evhttp_request* request, void* arg) {
+    auto* daemon = static_cast<Daemon*>(arg);
+    daemon->asking = false;
+    if (request == nullptr || evhttp_request_get_response_code(request) != 200) return;
+    const Micros after = SteadyNow() - std::exchange(daemon->restarted, 0);
+    daemon->play->See(What::kRestarted, "").until = after;
+  }
+
+  void Connect(IdleClient* c) {
+    c->stream.reset();
+    if (SteadyNow() >= c->until) return;
+    c->again->Set(kIdleAgain);
+    if (daemons_[c->dispatcher].state != State::kUp) return;
+    c->stream.reset(bufferevent_socket_new(base_.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+    const sockaddr_in to = ToSockaddr({"127.0.0.1", daemons_[c->dispatcher].process->ports().at("http")});
+    bufferevent_setcb(c->stream.get(), nullptr, nullptr, &Play_::OnIdleEvent, c);
+    const std::string head = "POST / HTTP/1.1\r\nHost: ";
+    if (c->half) bufferevent_write(c->stream.get(), head.data(), head.size());
+    bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
+    c->again->Set(c->until - SteadyNow());
+    bufferevent_socket_connect(c->stream.get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  }
+
+  static void OnIdleEvent(bufferevent*, short what, void* arg) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+      static_cast<IdleClient*>(arg)->again->Set(kIdleAgain);
+  }
+
   void Do(Fault f) {
     // A long stop is there for whoever holds the duty.
     const auto holder = std::ranges::find_if(daemons_, [](const Daemon& d) { return d.holds; });
@@ -429,7 +500,8 @@
         later([trouble, undo] { undo(trouble); });
       }
     };
-    const bool on_process = f.kind <= FaultKind::kPause || f.kind == FaultKind::kMove;
+    const bool on_process =
+        f.kind <= FaultKind::kPause || f.kind == FaultKind::kMove || f.kind == FaultKind::kRestingRequests;
     if (on_process && daemon.state != State::kUp) return;  // it has its trouble already
     ++run_.carried_out;
     switch (f.kind) {
@@ -493,6 +565,7 @@
         auto& of_dispatcher = discoveries_[f.dispatcher];
         StandInDiscovery* left = of_dispatcher.back().get();
         of_dispatcher.push_back(MakeDiscovery(f.dispatcher, left->list(), 1'000 * of_dispatcher.size()));
+        if (down_ == 0) See(What::kReachable, "", "", f.dispatcher, 0, 1);
         if (down_ > 0) of_dispatcher.back()->Down(true);
         daemon.config["discovery"] = "127.0.0.1:" + std::to_string(of_dispatcher.back()->port());
         daemon.process->Write(daemon.config.dump(), daemon.own);
@@ -500,6 +573,45 @@
         later([left] { left->Down(true); });
         break;
       }
+      case FaultKind::kListErrors:
+      case FaultKind::kListLosses:
+      case FaultKind::kListRefused: {
+        if (deployment_.pushed) return;  // an agent's calls do not fail
+        using Trouble = StandInDiscovery::Trouble;
+        StandInDiscovery* discovery = discoveries_[f.dispatcher].back().get();
+        const bool refused = f.kind == FaultKind::kListRefused;
+        if (refused) See(What::kReachable, "", "", f.dispatcher, 0, 0);
+        discovery->Fail(refused                            ? Trouble::kRefused
+                        : f.kind == FaultKind::kListErrors ? Trouble::kErrors
+                                                           : Trouble::kLosses);
+        later([this, discovery, d = f.dispatcher] {
+          discovery->Fail(Trouble::kNone);
+          if (down_ == 0) See(What::kReachable, "", "", d, 0, 1);
+        });
+        break;
+      }
+      case FaultKind::kLate:
+        on_links([](Relay* r) { r->Late(true); }, [](Relay* r) { r->Late(false); });
+        break;
+      case FaultKind::kLeave:
+        for (const auto& client : clients_) {
+          if (client->dispatcher == f.dispatcher) Leave(client.get(), f.amount);
+        }
+        break;
+      case FaultKind::kRestingRequests:
+        CrossTheClose(f);
+        break;
+      case FaultKind::kIdleClients:
+        for (int i = 0; i < f.amount; ++i) {
+          auto& c = idle_.emplace_back(std::make_unique<IdleClient>());
+          c->play = this;
+          c->dispatcher = f.dispatcher;
+          c->half = i % 2 == 1;
+          c->until = SteadyNow() + f.for_ms * kMillisecond;
+          c->again = std::make_unique<Timer>(base_.get(), [this, c = c.get()] { Connect(c); });
+          Connect(c.get());
+        }
+        break;
       case FaultKind::kUdpCut:
         on_datagrams([](auto* t) { t->cut = true; }, [](auto* t) { t->cut = false; });
         break;
@@ -548,20 +660,43 @@
     }
     if (up.empty()) return;
     const int d = up[draw % up.size()];
-    auto& client = clients_.emplace_back(std::make_unique<Client>());
+    Client* client = AddClient(job_class, tenant, deadline_ms, number, d);
+    ++waiting_;
+    if (leaves) At(leaves_ms, [this, client] { Leave(client, 0); });
+    Post(client);
+  }
+
+  Client* AddClient(const JobClass& job_class, const std::string& tenant, int deadline_ms, int number,
+                    int d) {
+    Client* client = clients_.emplace_back(std::make_unique<Client>()).get();
     client->play = this;
     client->id = job_class.name + "-" + std::to_string(number);
+    client->job_class = &job_class;
+    client->tenant = tenant;
+    client->deadline_ms = deadline_ms;
+    Connect(client, d);
+    return client;
+  }
+
+  void Connect(Client* client, int d) {
+    client->dispatcher = d;
+    // The one before may be in its callback still.
+    client->before = std::move(client->connection);
     client->connection.reset(evhttp_connection_base_new(base_.get(), nullptr, "127.0.0.1",
                                                         daemons_[d].process->ports().at("http")));
     evhttp_connection_set_retries(client->connection.get(), 0);
     evhttp_connection_set_timeout(client->connection.get(), static_cast<int>(kClientPatience / kSecond));
-    evhttp_request* request = evhttp_request_new(&Play_::OnAnswer, client.get());
+  }
+
+  void Post(Client* client) {
+    const JobClass& job_class = *client->job_class;
+    evhttp_request* request = evhttp_request_new(&Play_::OnAnswer, client);
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", "origin.svc");
     evhttp_add_header(headers, "Req-Id", client->id.c_str());
     evhttp_add_header(headers, "Req-Kind", job_class.name.c_str());
-    evhttp_add_header(headers, "Req-Owner", tenant.c_str());
-    evhttp_add_header(headers, "Req-Deadline", (std::to_string(deadline_ms) + "m").c_str());
+    evhttp_add_header(headers, "Req-Owner", client->tenant.c_str());
+    evhttp_add_header(headers, "Req-Deadline", (std::to_string(client->deadline_ms) + "m").c_str());
     if (job_class.keyed) evhttp_add_header(headers, "Idempotency-Key", client->id.c_str());
     if (deployment_.figures) {
       evhttp_add_header(headers, "Req-Cost",
@@ -569,20 +704,71 @@
       evhttp_add_header(headers, "Req-Extra", "slots=1,memory=0.6");
     }
     evhttp_add_header(headers, "Connection", "close");
-    See(What::kAsked, client->id, job_class.name, d).until =
-        Now() + deadline_ms * kMillisecond + kAnswerSlack;
-    ++waiting_;
-    if (leaves) At(leaves_ms, [this, c = client.get()] { Leave(c); });
+    See(What::kAsked, client->id, job_class.name, client->dispatcher).until =
+        Now() + client->deadline_ms * kMillisecond + kAnswerSlack;
     const std::string path = "/" + job_class.name;
     if (evhttp_make_request(client->connection.get(), request, EVHTTP_REQ_POST, path.c_str()) != 0)
-      Over(client.get());
+      Over(client);
+  }
+
+  // Clients whose connections rest, and which send in the moment of SIGTERM and after.
+  void CrossTheClose(const Fault& f) {
+    std::vector<Client*> resting;
+    for (int i = 0; i < f.amount; ++i) {
+      Client* c = AddClient(deployment_.classes[i % deployment_.classes.size()],
+                            deployment_.tenants[i % deployment_.tenants.size()], kMostDeadlineMs,
+                            table_.requests + ++resting_, f.dispatcher);
+      c->rests = true;
+      resting.push_back(c);
+      evhttp_request* request = evhttp_request_new([](evhttp_request*, void*) {}, nullptr);
+      evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "origin.svc");
+      evhttp_make_request(c->connection.get(), request, EVHTTP_REQ_GET, "/-/ready");
+    }
+    At(kRestMs, [this, f, resting] {
+      Daemon& daemon = daemons_[f.dispatcher];
+      if (daemon.state != State::kUp) return;  // it has its trouble already
+      daemon.state = State::kEnding;
+      After(10, [this, &daemon, f, resting] {
+        const auto send = [this](Client* c) {
+          ++waiting_;
+          Post(c);
+        };
+        for (std::size_t i = 0; i < resting.size(); ++i) {
+          if (i == resting.size() / 2) daemon.process->Signal(SIGTERM);
+          if (i % 4 != 3) {
+            send(resting[i]);
+          } else {
+            At(static_cast<int>(i) * f.for_ms / f.amount, [send, c = resting[i]] { send(c); });
+          }
+        }
+      });
+    });
+  }
+
+  // It got no byte of an answer on a connection that had rested: once more, elsewhere.
+  bool AskElsewhere(Client* client) {
+    if (!std::exchange(client->rests, false)) return false;
+    const int from = client->dispatcher;
+    See(What::kCrossed, client->id, "", from);
+    for (int i = 1; i < table_.dispatchers; ++i) {
+      const int d = (from + i) % table_.dispatchers;
+      if (daemons_[d].state != State::kUp) continue;
+      ++run_.crossed;
+      Connect(client, d);
+      Post(client);
+      return true;
+    }
+    return false;
   }
 
   static void OnAnswer(evhttp_request* request, void* arg) {
     auto* client = static_cast<Client*>(arg);
     if (client->over) return;
     const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
-    if (status == 0) return client->play->Over(client);
+    if (status == 0) {
+      if (!client->play->AskElsewhere(client)) client->play->Over(client);
+      return;
+    }
     evbuffer* body = evhttp_request_get_input_buffer(request);
     std::string text(evbuffer_get_length(body), '\0');
     evbuffer_copyout(body, text.data(), text.size());
@@ -598,8 +784,18 @@
     See(What::kBroken, client->id);
   }
 
-  void Leave(Client* client) {
+  // `how`: 0 closes, 1 resets; 2 and 3 send much before that.
+  void Leave(Client* client, int how) {
     if (std::exchange(client->over, true)) return;
+    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(client->connection.get()));
+    if (how >= 2) {
+      const std::string much(kFlood, 'x');
+      // As much as the kernel takes.
+      const auto taken = send(fd, much.data(), much.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      run_.flooded += taken > 0;
+    }
+    const linger at_once{1, 0};
+    if (how % 2 == 1) setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
     --waiting_;
     last_answer_ = SteadyNow();
     See(What::kLeft, client->id);
@@ -619,6 +815,7 @@
     for (int d = 0; d < table_.dispatchers; ++d) {
       Daemon& daemon = daemons_[d];
       if (daemon.process == nullptr) continue;
+      AskReady(&daemon);
       const std::optional<int> end = daemon.process->Ended();
       if (!end) continue;
       if (daemon.state != State::kEnding || *end != 0) ++run_.bad_ends;
@@ -631,7 +828,11 @@
       return std::ranges::any_of(links, [](const auto& link) { return link->HasOpen(); });
     });
     const bool overdue = SteadyNow() - last_answer_ > 2 * deployment_.rules.slack;
-    const bool over = asked && settled && waiting_ == 0 && (stopped || overdue);
+    const bool ready = std::ranges::all_of(daemons_, [this](const Daemon& d) {
+      return d.restarted == 0 ||
+             SteadyNow() - d.restarted > deployment_.rules.ready_within + deployment_.rules.slack;
+    });
+    const bool over = asked && settled && ready && waiting_ == 0 && (stopped || overdue);
     if (over && over_since_ == 0) over_since_ = Now();
     if (over) run_.agreed = !table_.members || Agreed();
     if (over && (run_.agreed || Now() - over_since_ > kAgreeWithin)) {
@@ -650,7 +851,7 @@
   EventPtr<event_base> base_;
   Run run_;
   std::uint64_t attempts_ = 0;
-  int runs_ = 0, jobs_at_workers_ = 0, waiting_ = 0;
+  int runs_ = 0, jobs_at_workers_ = 0, waiting_ = 0, resting_ = 0;
   std::map<int, Job> at_work_;  // before the workers, whose end is told to it
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<std::vector<std::unique_ptr<Relay>>> links_;
@@ -666,6 +867,7 @@
   Micros over_since_ = 0;
   Micros look_due_ = SteadyNow(), lost_ = 0, last_answer_ = 0;
   std::vector<std::unique_ptr<Client>> clients_;
+  std::vector<std::unique_ptr<IdleClient>> idle_;
   std::vector<std::unique_ptr<Timer>> timers_;
   std::unique_ptr<Timer> watchdog_;
   const Micros started_ = SteadyNow();
