Hold the list for 6 s after a failed call, and longer only while connects are refused

Cause: DiscoveryClock::good_until gave rules.mustAskIn from the last call where no watch was out, also after failures, so repeats renewed it without end; hold_until_ and a move gave a fresh term. A change counts as told 6 s after discovery had it and could be reached. An answer that was long on its way counted from its arrival, an agent's watch lost in a short silence was found out later than the drain grace, errors of an agent counted as silence.

Change: complete_at_ (a watch's answer in time, else the call of the answer) + 6 s bounds the list once a call has failed, was given up or is overdue. Only refused connects, one after another within the drain grace from a broken watch on, move it along; ConnectProbe learns that without a call. A move keeps what the old clock knew until the old watch answers. An agent's watch waits half the drain grace.

--- a/src/http/call_pacing.h
+++ b/src/http/call_pacing.h
@@ -15,11 +15,13 @@
 
 class CallPacing {
  public:
-  // `dispatchers`: that call the same discovery, this one included. `longest`: no first call and no repeat is
-  // put off for longer, in microseconds. `seed`: must differ between dispatchers, or they call in step.
+  // `dispatchers`: that call the same discovery, this one included. `longest`: no first call is put off for
+  // longer, in microseconds, and no repeat, but where that many fill discovery by their repeats alone, which
+  // are all dead then: there it is twice as long. `seed`: must differ between dispatchers, or they call in step.
   CallPacing(int dispatchers, Micros longest, std::uint64_t seed)
       : spread_(std::clamp<Micros>(dispatchers * kCallTime, 1, std::max<Micros>(longest, 1))),
-        longest_(std::max(spread_, std::min(longest, kLongestBackOff))),
+        longest_(std::max({spread_, std::min(longest, kLongestBackOff),
+                           std::min<Micros>(dispatchers * kCallTime, 2 * longest)})),
         random_(seed) {}
 
   // Before a call that nothing failed before: at a start, or when a watch has broken for all at once.
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -21,23 +21,31 @@
 
 Discovery::Discovery(event_base* base, const Endpoint& endpoint, std::optional<std::uint64_t> known_version,
                      DiscoveryClock clock, Micros hold, EventSink* sink, std::unique_ptr<Discovery> left)
-    : base_(base), endpoint_(endpoint), sink_(sink), clock_(std::move(clock)), version_(known_version) {
+    : base_(base),
+      endpoint_(endpoint),
+      sink_(sink),
+      clock_(std::move(clock)),
+      probe_(base, endpoint, [this](bool refused) { Probed(refused); }),
+      version_(known_version) {
+  clock_.Begin(SteadyNow(), hold);
+  if (left != nullptr) clock_.Succeed(left->clock_);
   // One that has told nothing yet leaves the word to the one before it.
   if (left != nullptr) before_ = left->continuing_ ? std::move(left) : std::move(left->before_);
-  if (before_ != nullptr) before_->Leave();
+  if (before_ != nullptr) before_->Leave(this);
   for (Line& line : lines_) line.owner = this;
   // Not from within evhttp's callback, which is not done with the connection yet.
   next_ = std::make_unique<Timer>(base_, [this] { Call(); });
-  clock_.Begin(SteadyNow(), hold);
-  sink_->Tell(NameTableGood{clock_.good_until() - SteadyNow()});
+  next_probe_ = std::make_unique<Timer>(base_, [this] { probe_.Start(); });
+  Schedule();
 }
 Discovery::~Discovery() {
   // Freeing the connection must not tell of the end of a call that nobody waits for any more.
   for (Line& line : lines_) Cancel(&line);
 }
 
-void Discovery::Leave() {
+void Discovery::Leave(Discovery* after) {
   left_ = true;
+  after_ = after;
   before_.reset();
   Schedule();
 }
@@ -51,10 +59,29 @@
   // One that was left lives while its calls are answered: renewed at once, never repeated.
   const bool renew = clock_.next_wait() > 0;
   next_->Clear();
-  if (watching_ && (!left_ || renew)) next_->Set(std::max<Micros>(0, clock_.next_call() - now));
+  if (watching_ && (!left_ || renew) && clock_.next_call() != DiscoveryClock::kNever)
+    next_->Set(std::max<Micros>(0, clock_.next_call() - now));
+  next_probe_->Clear();
+  if (left_ || clock_.next_probe() == DiscoveryClock::kNever) {
+    probe_.Close();  // what it would find out is of no use any more
+  } else if (!probe_.under_way()) {
+    next_probe_->Set(std::max<Micros>(0, clock_.next_probe() - now));
+  }
   if (!left_) sink_->Tell(NameTableGood{clock_.good_until() - now});
 }
 
+void Discovery::Probed(bool refused) {
+  const Micros now = SteadyNow();
+  // Those that follow tell nothing new.
+  if (refused)
+    Log(std::exchange(refused_, true) ? LogLevel::kDebug : LogLevel::kWarning, "discovery_refused",
+        {{"good_ms", (clock_.good_until() - now) / kMillisecond}});
+  else if (std::exchange(refused_, false))
+    Log(LogLevel::kInfo, "discovery_back");
+  refused ? clock_.Refused(now) : clock_.MayBeReached(now);
+  Schedule();
+}
+
 bool Discovery::AnyOut() const {
   return std::any_of(lines_.begin(), lines_.end(), [](const Line& line) { return line.out != nullptr; });
 }
@@ -127,10 +154,10 @@
   try {
     message = DecodeNameTable(std::string_view(text != nullptr ? text : "", size));
   } catch (const BadMessage& e) {
-    return Fail(line, e.what());
+    return Fail(line, e.what(), true);
   }
   // Changes to a list that we do not have.
-  if (!message.full && !version_) return Fail(line, "changes came before the whole list");
+  if (!message.full && !version_) return Fail(line, "changes came before the whole list", true);
   Log(LogLevel::kDebug, "discovery_answered",
       {{"wait_ms", line->called_wait / kMillisecond},
        {"took_ms", (SteadyNow() - line->called_at) / kMillisecond},
@@ -149,21 +176,27 @@
   const Form form = message.full ? (left_ ? Form::kRemembered : Form::kWhole)
                                  : (left_ ? Form::kLeftChanges : Form::kChanges);
   sink_->Tell(NameTableNews{form, Instance::Source::kDiscovery, std::move(message.instances)});
-  clock_.Answered(SteadyNow());
+  clock_.Answered(SteadyNow(), line->called_at);
+  refused_ = false;
   Schedule();
+  if (!left_) return;
+  after_->clock_.LeftAnswered(clock_);
+  after_->Schedule();
 }
 
-void Discovery::Fail(Line* line, const char* why, bool refused) {
+void Discovery::Fail(Line* line, const char* why, bool answered) {
   Log(left_ ? LogLevel::kDebug : LogLevel::kWarning, left_ ? "discovery_left" : "discovery_failed",
       {{"why", why},
        {"wait_ms", line->called_wait / kMillisecond},
        {"took_ms", (SteadyNow() - line->called_at) / kMillisecond}});
   const bool others_out = AnyOut();
-  clock_.Failed(SteadyNow(), line->called_at, refused, others_out);
+  clock_.Failed(SteadyNow(), line->called_at, answered, others_out);
   Schedule();
   if (others_out) return;
   continuing_ = false;
-  if (!left_) sink_->Tell(NameTableFailed{});
+  if (!left_) return sink_->Tell(NameTableFailed{});
+  after_->clock_.LeftFailed();
+  after_->Schedule();
 }
 
 }  // namespace aldersill
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "core/types.h"
+#include "http/connect_probe.h"
 #include "http/discovery_clock.h"
 #include "net/event_loop.h"
 
@@ -39,10 +40,12 @@
     Micros called_at = 0, called_wait = 0;
   };
   static void OnDone(evhttp_request* request, void* line);
-  void Leave();
+  void Leave(Discovery* after);
   void Call();
   void Answered(Line* line, evhttp_request* request);
-  void Fail(Line* line, const char* why, bool refused = false);
+  // `answered`: discovery itself said no.
+  void Fail(Line* line, const char* why, bool answered = false);
+  void Probed(bool refused);
   void Cancel(Line* line);
   void Schedule();
   bool AnyOut() const;
@@ -53,12 +56,15 @@
   DiscoveryClock clock_;
   std::array<Line, 4> lines_;  // calls to an agent follow one another by 120 ms: one gets half a second
   Line* last_ = &lines_[0];    // its connection answered last
-  std::unique_ptr<Timer> next_;
+  std::unique_ptr<Timer> next_, next_probe_;
+  ConnectProbe probe_;
   std::optional<std::uint64_t> version_;
   bool watching_ = false;    // begun
   bool continuing_ = false;  // the watch is on: the last call that ended was answered
+  bool refused_ = false;     // nobody was there when it was tried last
   bool left_ = false;  // a discovery at another address has taken over: no new watch, no word of its end
   std::unique_ptr<Discovery> before_;
+  Discovery* after_ = nullptr;  // the one that has taken over
 };
 
 }  // namespace aldersill
