--- a/src/core/types.h
+++ b/src/core/types.h
@@ -158,7 +158,7 @@
   Instance::Source source = Instance::Source::kDiscovery;
   std::shared_ptr<const Job> job;
   Micros time_left = 0;
-  ClientRef client;  // whom it is for
+  ClientRef client{};  // whom it is for
 };
 struct HandOverExecution {  // one that has connected: its first byte may go out now, and at no later time
   ExecutionNo execution{};
--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -304,8 +304,7 @@
     Micros until = r.deadline;
     for (const Attempt& a : r.attempts) {
       if ((a.open && !s_.second_copies) || (a.may_have_run && c.repeat == Repeat::kUnsafe)) return 0;
-      const bool bound = a.may_have_run && c.repeat == Repeat::kKeyed && c.window < until - a.sent;
-      if (bound) until = a.sent + c.window;
+      if (a.may_have_run && c.repeat == Repeat::kKeyed) until = a.sent + std::min(c.window, until - a.sent);
     }
     return until;
   }
