Answer operators at mgmt: HEALTH, DUMP, and bans by OFFLINE and ONLINE

Change: src/admin/ (command and figures, pure), src/net/line_server (one line, one answer; the control socket uses it too, where it had its own), src/daemon/admin_part. A ban is state of the reducer, beside the list: nothing starts, and nothing that is not handed over goes on, until it is taken back. hosts_down counts banned, draining and left-alone workers (Dispatcher::Avoids).

--- a/include/pulleyrouter/dispatcher.h
+++ b/include/pulleyrouter/dispatcher.h
@@ -200,6 +200,9 @@
   // Handles one event and appends the actions it calls for, to be carried out in order.
   void Handle(Micros now, const Event& event, std::vector<Action>* actions);
 
+  // Whether it sends nothing to this worker for a while, as of the last event, as it failed or fell silent.
+  bool Avoids(const std::string& worker) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -233,7 +233,7 @@
   static const std::set<std::string> kFields = [] {
     const std::pair<const char*, std::vector<const char*>> kGroups[] = {
         {"",
-         {"name", "listen", "discovery", "seed", "limits", "known", "settings", "peers", "peers_all",
+         {"name", "listen", "discovery", "seed", "limits", "known", "mgmt", "settings", "peers", "peers_all",
           "peer_listen"}},
         {"limits.", {"cores", "memory_mb", "sockets"}},
         {"settings.", {"clients", "discovery", "familyInfo",   "goal",           "grades",     "layer",
@@ -342,7 +342,8 @@
   const Field root(&json, "");
   Config c;
   const Config::Written* was = before != nullptr ? &before->written : nullptr;
-  c.written = {root["name"].Text("aldersill"), root["listen"].Text(""), root["discovery"].Text("")};
+  c.written = {root["name"].Text("aldersill"), root["listen"].Text(""), root["discovery"].Text(""),
+               root["mgmt"].Text("")};
   const auto ReadTold = [told](const char* variable, const std::string& written, const std::string* then,
                                const std::string& held) {
     return told ? ReadToldField(variable, written, then, held) : written;
@@ -355,6 +356,9 @@
   const std::string discovery = ReadTold("GW_DISCOVERY", c.written.discovery, was ? &was->discovery : nullptr,
                                          before && before->discovery ? ToText(*before->discovery) : "");
   if (!discovery.empty()) c.discovery = ReadEndpoint(discovery, "discovery");
+  const std::string mgmt = ReadTold("GW_MGMT", c.written.mgmt, was ? &was->mgmt : nullptr,
+                                    before && before->mgmt ? ToText(*before->mgmt) : "");
+  if (!mgmt.empty()) c.mgmt = ReadEndpoint(mgmt, "mgmt");
   const std::string seed = root["seed"].Text("0");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) root["seed"].Bad("must be hex digits");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -54,6 +54,7 @@
   std::string name;
   Endpoint listen;
   std::optional<Endpoint> discovery;
+  std::optional<Endpoint> mgmt;  // where operators call
   std::uint64_t seed = 0;
   int sockets = 1024;
   int memory_mb = 128;
@@ -68,7 +69,7 @@
   std::vector<std::string> unknown;
   // What the file itself says of the fields that a variable may go before.
   struct Written {
-    std::string name, listen, discovery;
+    std::string name, listen, discovery, mgmt;
   } written;
 };
 
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -13,8 +13,7 @@
 namespace aldersill::control {
 namespace {
 
-constexpr std::size_t kMostQuestion = 128;
-constexpr Micros kPatience = 2 * kSecond;  // with one that asks
+constexpr LineServer::Limits kLimits{8, 128, 2 * kSecond};
 
 sockaddr_un AddressOf(const std::string& path) {
   sockaddr_un address{};
@@ -48,49 +47,11 @@
 
 }  // namespace
 
-class Server::Connection {
- public:
-  Connection(Server* server, evutil_socket_t fd)
-      : server_(server), stream_(bufferevent_socket_new(server->base_, fd, BEV_OPT_CLOSE_ON_FREE)) {
-    bufferevent_setcb(stream_.get(), &Connection::OnRead, &Connection::OnWritten, &Connection::OnEvent, this);
-    const timeval patience = ToTimeval(kPatience);
-    bufferevent_set_timeouts(stream_.get(), &patience, &patience);
-    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
-  }
-
- private:
-  void End() { server_->connections_.erase(this); }
-  static void OnRead(bufferevent* stream, void* self) {
-    auto* connection = static_cast<Connection*>(self);
-    evbuffer* input = bufferevent_get_input(stream);
-    std::size_t size = 0;
-    char* line = evbuffer_readln(input, &size, EVBUFFER_EOL_LF);
-    if (line == nullptr) {
-      if (evbuffer_get_length(input) > kMostQuestion) connection->End();
-      return;
-    }
-    const std::string question(line, size);
-    std::free(line);
-    bufferevent_disable(stream, EV_READ);
-    const std::optional<std::string> answer = connection->server_->answer_(question);
-    const std::string text = answer.value_or("{\"error\":\"no such question\"}") + "\n";
-    connection->answered_ = true;
-    bufferevent_write(stream, text.data(), text.size());
-  }
-  static void OnWritten(bufferevent*, void* self) {
-    auto* connection = static_cast<Connection*>(self);
-    if (connection->answered_) connection->End();
-  }
-  static void OnEvent(bufferevent*, short, void* self) { static_cast<Connection*>(self)->End(); }
-
-  Server* server_;
-  EventPtr<bufferevent> stream_;
-  bool answered_ = false;
-};
-
 Server::Server(event_base* base, const std::string& path,
                std::function<std::optional<std::string>(const std::string&)> answer)
-    : base_(base), path_(path), answer_(std::move(answer)) {
+    : path_(path), server_(base, kLimits, [answer = std::move(answer)](const std::string& question) {
+        return answer(question).value_or("{\"error\":\"no such question\"}") + "\n";
+      }) {
   const sockaddr_un address = AddressOf(path);
   if (SomebodyListens(address))
     throw std::runtime_error("control.socket: another instance listens on " + path);
@@ -103,26 +64,14 @@
   umask(before);
   if (bound != 0)
     throw std::runtime_error("control.socket: cannot listen on " + path + ": " + std::strerror(error));
-  listener_.reset(evconnlistener_new(base, &Server::OnAccept, this, LEV_OPT_CLOSE_ON_FREE, 8, fd.get()));
-  if (listener_ == nullptr) throw std::runtime_error("control.socket: cannot listen on " + path);
+  EventPtr<evconnlistener> listener(
+      evconnlistener_new(base, &LineServer::OnAccept, &server_, LEV_OPT_CLOSE_ON_FREE, 8, fd.get()));
+  if (listener == nullptr) throw std::runtime_error("control.socket: cannot listen on " + path);
   fd.Release();
+  server_.Listen(std::move(listener));
 }
 
-Server::~Server() {
-  connections_.clear();
-  listener_.reset();
-  unlink(path_.c_str());
-}
-
-void Server::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-  auto* server = static_cast<Server*>(self);
-  if (server->connections_.size() >= kMostConnections) {
-    evutil_closesocket(fd);
-    return;
-  }
-  auto connection = std::make_unique<Connection>(server, fd);
-  server->connections_.emplace(connection.get(), std::move(connection));
-}
+Server::~Server() { unlink(path_.c_str()); }
 
 std::optional<std::string> Ask(const std::string& path, const std::string& question) {
   const sockaddr_un address = AddressOf(path);
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -4,12 +4,10 @@
 #define ALDERSILL_SRC_CONTROL_CONTROL_H_
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
-#include "net/event_loop.h"
+#include "net/line_server.h"
 
 namespace aldersill::control {
 
@@ -25,15 +23,8 @@
   Server& operator=(const Server&) = delete;
 
  private:
-  class Connection;
-  static constexpr std::size_t kMostConnections = 8;
-  static void OnAccept(evconnlistener* listener, evutil_socket_t fd, sockaddr* peer, int size, void* self);
-
-  event_base* base_;
   std::string path_;
-  std::function<std::optional<std::string>(const std::string&)> answer_;
-  EventPtr<evconnlistener> listener_;
-  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  LineServer server_;
 };
 
 // Asks the instance that listens there, waiting for 5 s at most; nothing if none does, or it does not answer.
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -10,6 +10,9 @@
 
 pulleyrouter::RequestId ModuleId(std::uint64_t number) { return pulleyrouter::RequestId{number}; }
 
+// An operator may name a worker that has long left; no list names as many over the life of a process.
+constexpr std::size_t kMostEverListed = 65'536;
+
 bool MayHaveRun(Outcome outcome) {
   return outcome != Outcome::kFull && outcome != Outcome::kConnectFailed && outcome != Outcome::kNotSent;
 }
@@ -57,6 +60,7 @@
   std::erase_if(modules_,
                 [this](const auto& m) { return m.second.open == 0 && m.first != modules_.rbegin()->first; });
   counters_.open_requests = requests_.size();
+  counters_.waiting_clients = by_client_.size();
   counters_.open_executions = executions_.size();
 }
 
@@ -134,6 +138,7 @@
   const auto found = executions_.find(e.execution);
   if (found == executions_.end() || found->second.handed_over) return;
   found->second.handed_over = true;
+  ++counters_.executions_handed_over;
   found->second.handed_at = now_;
   Ask(ClearTimer{{TimerKey::Wait::kHandover, static_cast<std::uint64_t>(e.execution)}});
 }
@@ -198,6 +203,7 @@
 #endif
     entry.source = e.source;
     changes.workers.push_back(ModuleEntry(entry));
+    if (ever_listed_.size() < kMostEverListed) ever_listed_.insert(entry.name);
     Instance& known = name_table_[entry.name];
     if (entry.address.empty()) entry.address = known.address;
     known = std::move(entry);
@@ -218,6 +224,10 @@
     TellModules(WholeList(old ? WorkerList::Form::kCached : WorkerList::Form::kFull));
   }
   // What is decided but not yet handed over must not reach an instance that has meanwhile been told to drain.
+  WithdrawLate();
+}
+
+void Reducer::WithdrawLate() {
   std::vector<ExecutionNo> late;
   for (const auto& [number, x] : executions_) {
     if (!MayStillGo(x)) late.push_back(number);
@@ -261,7 +271,21 @@
   TellModules(pulleyrouter::ProbeDone{e.instance, e.outcome, e.elapsed, e.report});
 }
 
+void Reducer::On(SettingsRefused&&) { ++counters_.reconfigurations_refused; }
+
+void Reducer::On(WorkerBanned&& e) {
+  const bool changed = e.banned ? banned_.insert(e.worker).second : banned_.erase(e.worker) > 0;
+  const auto known = name_table_.find(e.worker);
+  if (!changed || known == name_table_.end()) return;
+  if (watched_)
+    TellModules(WorkerList{WorkerList::Form::kDelta, {ModuleEntry(known->second)}});
+  else
+    TellModules(WholeList(WorkerList::Form::kCached));  // a delta would tell it that it is subscribed
+  WithdrawLate();
+}
+
 void Reducer::On(SettingsChanged&& e) {
+  ++counters_.reconfigurations;
   const std::uint64_t before = modules_.rbegin()->first;
   Adopt(std::move(e.settings));
   const std::uint64_t now = modules_.rbegin()->first;
@@ -362,7 +386,15 @@
 }
 
 bool Reducer::MayGetNew(const Instance& i) const {
-  return i.state == Instance::State::kReady && !(distrusted_ && i.source == Instance::Source::kDiscovery);
+  return i.state == Instance::State::kReady && !banned_.contains(i.name) &&
+         !(distrusted_ && i.source == Instance::Source::kDiscovery);
+}
+
+std::size_t Reducer::AvoidedWorkers() const {
+  const pulleyrouter::Dispatcher& module = modules_.rbegin()->second.dispatcher;
+  return static_cast<std::size_t>(std::ranges::count_if(name_table_, [&](const auto& named) {
+    return !MayGetNew(named.second) || module.Avoids(named.first);
+  }));
 }
 
 bool Reducer::MayStillGo(const Execution& x) const {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +28,13 @@
   const Counters& counters() const { return counters_; }
   bool Quiet() const { return requests_.empty() && executions_.empty(); }
   const std::map<std::string, Instance>& name_table() const { return name_table_; }
+  // Whether the worker has been known since the start, or is banned.
+  bool EverListed(const std::string& worker) const {
+    return ever_listed_.contains(worker) || name_table_.contains(worker) || banned_.contains(worker);
+  }
+  // Known workers that get nothing new now: banned, draining, or left alone by the decision module.
+  std::size_t AvoidedWorkers() const;
+  const std::set<std::string>& banned() const { return banned_; }
   // Whether the worker list may be acted on, and discovery, where there is one, has told it to this process.
   bool ListConfirmed() const { return !distrusted_ && (heard_ || !s_.has_discovery); }
 
@@ -71,6 +79,8 @@
   void On(NameTableGood&& e);
   void On(ProbeAnswered&& e);
   void On(SettingsChanged&& e);
+  void On(SettingsRefused&& e);
+  void On(WorkerBanned&& e);
 
   void Do(const pulleyrouter::Send& a);
   void Do(const pulleyrouter::Cancel& a);
@@ -96,6 +106,8 @@
   void TellModuleOf(const Request& r, pulleyrouter::Event event) { TellModule(r.module, std::move(event)); }
   // Discovery's list may not be acted on any more: nothing new goes to its instances until it is good again.
   void Distrust();
+  // Ends what is decided but not handed over and may not go to its instance any more.
+  void WithdrawLate();
   // What the module is told of an instance: one that cannot be vouched for wants nothing new.
   pulleyrouter::WorkerEntry ModuleEntry(const Instance& i) const;
   bool MayGetNew(const Instance& i) const;
@@ -131,6 +143,8 @@
   // Given up on, yet out at instances that cannot be told to stop, with the ids of their jobs.
   std::map<ExecutionNo, std::string> still_out_;
   std::map<std::string, Instance> name_table_;
+  std::set<std::string> ever_listed_;  // kMostEverListed at most
+  std::set<std::string> banned_;
   struct Class {
     int setting = 0;  // in s_.module.classes
     int counter = 0;  // in counters_.classes
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -82,6 +82,14 @@
   CoreSettings settings;
 };
 
+struct SettingsRefused {};  // a configuration that was read anew and not taken over
+
+// By hand: nothing new goes to the worker, whatever its source says of it, until this is taken back.
+struct WorkerBanned {
+  std::string worker;
+  bool banned = true;
+};
+
 struct RequestTaken {
   ClientRef client;
   Job job;
@@ -144,10 +152,10 @@
   Micros elapsed = 0;
   LoadReport report;
 };
-using Event =
-    std::variant<RequestTaken, RequestTurnedAway, ClientLeft, ExecutionConnected, ExecutionHandedOver,
-                 ExecutionProgress, ExecutionEnded, ExecutionReleased, TimerDue, NameTableNews,
-                 NameTableFailed, NameTableGood, ProbeAnswered, SettingsChanged>;
+using Event = std::variant<RequestTaken, RequestTurnedAway, ClientLeft, ExecutionConnected,
+                           ExecutionHandedOver, ExecutionProgress, ExecutionEnded, ExecutionReleased,
+                           TimerDue, NameTableNews, NameTableFailed, NameTableGood, ProbeAnswered,
+                           SettingsChanged, SettingsRefused, WorkerBanned>;
 
 // ---- Effects ----
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -154,7 +154,7 @@
         {{"code", error != nullptr ? error->code() : "failed"},
          {"field", error != nullptr ? error->path() : ""},
          {"why", e.what()}});
-    return;
+    return Tell(SettingsRefused{});
   }
   CoreSettings core = ForCore(next);
   core.module_changed = next.module_text != config_.module_text;
--- a/src/daemon/part.h
+++ b/src/daemon/part.h
@@ -44,6 +44,8 @@
   // The same for a part's own sake: what comes of it goes to the function alone, once.
   std::function<void(const ProbeInstance&, std::function<void(ProbeAnswered)>)> probe_for;
   std::function<void()> watch_name_table;
+  // Why this process takes no clients, in one line; empty where it does.
+  std::function<std::string()> why_not_ready;
   // Called with each walk: what the part adds to the MIB.
   std::vector<std::function<void(snmp::ObjectMap*)>> snmp_objects;
   // What a running instance can be asked over its control socket, by the question's name: JSON, one line.
@@ -84,6 +86,8 @@
 // All parts, in the order in which they start.
 std::vector<std::unique_ptr<Part>> MakeParts(const Surroundings& surroundings);
 
+constexpr int kAdminConnections = 16;  // at the operators' address
+
 // How the descriptors are shared out among the parts that hold connections.
 struct Shares {
   explicit Shares(const Config& config);
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -4,7 +4,7 @@
 namespace {
 
 // Descriptors for what is not a connection: standard streams, epoll, signals, listeners, discovery.
-constexpr int kReserved = 40;
+constexpr int kReserved = 40 + kAdminConnections;
 
 }  // namespace
 
@@ -20,6 +20,7 @@
   parts.push_back(MakeFaktoryPart(surroundings));
   parts.push_back(MakeSnmpPart(surroundings));
   parts.push_back(MakeClusterPart(surroundings));
+  parts.push_back(MakeAdminPart(surroundings));
   parts.push_back(MakeControlPart(surroundings));
   return parts;
 }
--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -72,6 +72,7 @@
     offers.watch_name_table = [this] {
       if (discovery_ != nullptr) discovery_->Watch();
     };
+    offers.why_not_ready = [this] { return Ready() ? std::string() : std::string("no worker list yet"); };
     offers.probe = [this](const ProbeInstance& probe) { instances_->Probe(probe); };
     offers.probe_for = [this](const ProbeInstance& probe, std::function<void(ProbeAnswered)> done) {
       instances_->Probe(probe, std::move(done));
--- a/src/pulleyrouter/fleet.h
+++ b/src/pulleyrouter/fleet.h
@@ -50,6 +50,11 @@
   void Apply(const WorkerList& list);
 
   int Find(const std::string& name) const { return Lookup(index_, name, -1); }
+  // Whether it is left alone for a while, as it failed or fell silent.
+  bool Avoids(const std::string& name, Micros now) const {
+    const int found = Find(name);
+    return found >= 0 && workers_[found].down_until > now;
+  }
   Worker& worker(int index) { return workers_[index]; }
   const Worker& worker(int index) const { return workers_[index]; }
   Kind& kind_of(const Worker& w) { return kinds_[w.kind]; }
--- a/src/pulleyrouter/policy.cpp
+++ b/src/pulleyrouter/policy.cpp
@@ -86,6 +86,7 @@
     if (arrival) On(std::get<Arrival>(event));
     WakeForTokens();
   }
+  bool Avoids(const std::string& worker) const { return fleet_.Avoids(worker, now_); }
 
  private:
   // ---- The throttle ----
@@ -667,7 +668,6 @@
   Random random_;
   std::vector<Action>* out_ = nullptr;
   Micros now_ = 0;
-  bool begun_ = false;
   // Throttle.
   std::vector<Tenant> tenants_;
   double quota_ = 0.0;     // this node's part, requests a second
@@ -678,8 +678,7 @@
   double mean_tokens_ = 1.0, mean_price_ = 1.0, mean_job_ = 1.0;  // of a job; the last in slot-microseconds
   double arriving_ = 0.0;                                         // tokens a second, as of arrived_at_
   Micros arrived_at_ = 0, counted_from_ = std::numeric_limits<Micros>::min() / 2;
-  Micros next_token_ = std::numeric_limits<Micros>::max();
-  Micros shortest_target_ = std::numeric_limits<Micros>::max();
+  Micros next_token_ = std::numeric_limits<Micros>::max(), shortest_target_ = next_token_;
   Micros tell_from_ = 0;  // no log line before
   Micros wake_at_ = 0;
   RequestTable requests_;
@@ -691,7 +690,7 @@
   Micros drawn_at_ = 0;    // when a job was last drawn for one of them
   double fleet_errors_ = 0.0;
 
-  bool subscribed_ = false;
+  bool begun_ = false, subscribed_ = false;
   Micros ask_wait_ = 0;
 };
 
@@ -704,5 +703,6 @@
 void Dispatcher::Handle(Micros now, const Event& event, std::vector<Action>* actions) {
   impl_->Handle(now, event, actions);
 }
+bool Dispatcher::Avoids(const std::string& worker) const { return impl_->Avoids(worker); }
 
 }  // namespace pulleyrouter
