Take spaces and tabs behind a header's value for no part of it

Cause: clients may end a header's value with spaces or tabs (RFC 9112, 5.1); http_parser drops only those before it.

Change: the reader trims each line of a head before the parser has it, which takes a tab behind a length for a part of that; the same for the fields that we read off workers' answers.

--- a/src/http/codec.cpp
+++ b/src/http/codec.cpp
@@ -68,6 +68,8 @@
   return lower;
 }
 
+void TrimTrailingSpace(std::string* value) { value->erase(value->find_last_not_of(" \t") + 1); }
+
 Job DecodeJob(HttpRequest request, const std::unordered_map<std::string, bool>& keyed) {
   Job job;
   job.id = Header(request, "req-id");
--- a/src/http/codec.h
+++ b/src/http/codec.h
@@ -29,6 +29,9 @@
   std::string body;
 };
 std::string LowerCase(std::string_view text);
+// Spaces and tabs behind a field's value are no part of it (RFC 9112, 5.1); http_parser drops those before
+// it.
+void TrimTrailingSpace(std::string* value);
 // Throws BadRequest. `keyed`: by class, whether its jobs carry a key.
 Job DecodeJob(HttpRequest request, const std::unordered_map<std::string, bool>& keyed);
 
--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -179,6 +179,7 @@
   }
 
   void KeepHeader() {
+    TrimTrailingSpace(&value_);
     const auto is = [this](const char* name) { return evutil_ascii_strcasecmp(field_.c_str(), name) == 0; };
     if (is("Srv-Load")) load_ = DecodeLoad(value_);
     if (is("Srv-Declined")) declined_ = value_ == "1";
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -44,6 +44,8 @@
     if ((static_cast<unsigned char>(c) < ' ' && c != '\r' && c != '\n' && c != '\t') || c == '\x7f')
       throw BadRequest(400, "a control character");
     if (line_begins && (c == ' ' || c == '\t')) throw BadRequest(400, "a line that begins with a space");
+    // Before the parser sees it, which takes a tab behind a length for a part of that.
+    if (c == '\r' && line_ends_ > 0) TrimTrailingSpace(&head_);
     head_.push_back(c);
     if (head_ == "\r\n") {  // one empty line before a request is forgiven, as RFC 9112 asks
       head_.clear();
