Run two processes of one dispatcher side by side over an upgrade, with shared bans

Need: the platform starts the next process beside the running one; the second ended with 1 (address in use), which broke the fault and lost rules.

--- a/src/daemon/admin_part.cpp
+++ b/src/daemon/admin_part.cpp
@@ -56,7 +56,7 @@
   std::string Ban(const std::string& worker, bool banned) {
     if (!around_.reducer->EverListed(worker))
       return "ERR " + worker + " has never been in the worker list of this dispatcher\n";
-    around_.sink->Tell(WorkerBanned{worker, banned});
+    around_.offers->keep_ban(worker, banned);
     Log(LogLevel::kInfo, banned ? "worker_offline" : "worker_online", {{"worker", worker}});
     return "OK " + worker + (banned ? " is left out until ONLINE\n" : " is put back\n");
   }
--- a/src/daemon/part.h
+++ b/src/daemon/part.h
@@ -17,6 +17,7 @@
 #include "core/reducer.h"
 #include "core/types.h"
 #include "snmp/objects.h"
+#include "upgrade/shared_folder.h"
 
 namespace aldersill {
 
@@ -46,6 +47,13 @@
   std::function<void()> watch_name_table;
   // Why this process takes no clients, in one line; empty where it does.
   std::function<std::string()> why_not_ready;
+  // The other processes of this dispatcher, as while one is upgraded to the next.
+  std::function<upgrade::OtherProcesses()> other_processes;
+  // Those of them to which clients come, and whether they come to this one.
+  std::function<upgrade::OtherProcesses()> processes_listening;
+  std::function<void(bool)> tell_listening;
+  // Tells the core of a ban, and keeps it for the other processes.
+  std::function<void(const std::string& worker, bool banned)> keep_ban;
   // Called with each walk: what the part adds to the MIB.
   std::vector<std::function<void(snmp::ObjectMap*)>> snmp_objects;
   // What a running instance can be asked over its control socket, by the question's name: JSON, one line.
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -16,6 +16,7 @@
 
 std::vector<std::unique_ptr<Part>> MakeParts(const Surroundings& surroundings) {
   std::vector<std::unique_ptr<Part>> parts;
+  parts.push_back(MakeUpgradePart(surroundings));
   parts.push_back(MakePlatformPart(surroundings));
   parts.push_back(MakeFaktoryPart(surroundings));
   parts.push_back(MakeSnmpPart(surroundings));
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -11,6 +11,7 @@
 std::unique_ptr<Part> MakePlatformPart(const Surroundings& surroundings);
 std::unique_ptr<Part> MakeFaktoryPart(const Surroundings& surroundings);
 std::unique_ptr<Part> MakeClusterPart(const Surroundings& surroundings);
+std::unique_ptr<Part> MakeUpgradePart(const Surroundings& surroundings);
 std::unique_ptr<Part> MakeAdminPart(const Surroundings& surroundings);
 std::unique_ptr<Part> MakeControlPart(const Surroundings& surroundings);
 std::unique_ptr<Part> MakeSnmpPart(const Surroundings& surroundings);
--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -15,6 +15,7 @@
 
 // After SIGTERM the layer before us goes on sending new connections for a while.
 constexpr Micros kQuietFor = 300 * kMillisecond;
+constexpr Micros kLookIfReadyEvery = 20 * kMillisecond;
 
 ClientFrontSettings ForClients(const Config& c) {
   ClientFrontSettings s;
@@ -23,6 +24,7 @@
     s.longest_deadline = std::max(s.longest_deadline, klass.deadline);
   }
   s.most_connections = static_cast<std::size_t>(Shares(c).clients);
+  s.shares_endpoint = c.mgmt.has_value();
   s.most_bytes = (static_cast<std::size_t>(c.memory_mb) << 20) / 8;
   return s;
 }
@@ -64,6 +66,11 @@
     if (discovery_ != nullptr && !c.module.subscribe) discovery_->Watch();
     clients_ = std::make_unique<ClientFront>(around_.base, c.listen, ForClients(c), around_.sink,
                                              [this] { return Ready(); });
+    // Beside another process nobody is served worse for waiting until this one can serve.
+    if (around_.offers->other_processes().count() == 0)
+      Listen();
+    else
+      ListenOnceReady();
     listen_ = c.listen;
     discovered_at_ = c.discovery;
     Offers& offers = *around_.offers;
@@ -72,7 +79,7 @@
     offers.watch_name_table = [this] {
       if (discovery_ != nullptr) discovery_->Watch();
     };
-    offers.why_not_ready = [this] { return Ready() ? std::string() : std::string("no worker list yet"); };
+    offers.why_not_ready = [this] { return WhyNotReady(); };
     offers.probe = [this](const ProbeInstance& probe) { instances_->Probe(probe); };
     offers.probe_for = [this](const ProbeInstance& probe, std::function<void(ProbeAnswered)> done) {
       instances_->Probe(probe, std::move(done));
@@ -116,7 +123,14 @@
     discovery_->Watch();
   }
 
-  void BeginDrain() override { clients_->BeginDrain(); }
+  void BeginDrain() override {
+    clients_->BeginDrain();
+    const upgrade::OtherProcesses others = around_.offers->processes_listening();
+    around_.offers->tell_listening(false);
+    // They are numbered as they came; newcomers go to the newest of the others.
+    if (others.count() > 0 && clients_->Listens())
+      clients_->LeaveNewcomersTo(static_cast<unsigned>(others.newer > 0 ? others.count() : others.older - 1));
+  }
   bool Quiet() const override { return clients_->Quiet() && clients_->SinceLastAccept() >= kQuietFor; }
 
  private:
@@ -127,9 +141,22 @@
     clock.BeginRemembered(steady, steady - (now - RememberedAt(c.known, now)));
     return clock;
   }
+  std::string WhyNotReady() {
+    if (!Ready()) return "no worker list yet";
+    return clients_->Listens() ? "" : "takes no new clients";
+  }
+  void Listen() {
+    clients_->Listen();
+    around_.offers->tell_listening(true);
+  }
+  void ListenOnceReady() {
+    if (Ready()) return Listen();
+    ready_timer_.Set(kLookIfReadyEvery);
+  }
   bool Ready() { return readiness_.Ready(SteadyNow(), around_.reducer->ListConfirmed()); }
 
   Readiness readiness_{SteadyNow()};
+  Timer ready_timer_{around_.base, [this] { ListenOnceReady(); }};
   std::unique_ptr<InstanceLink> instances_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<ClientFront> clients_;
--- /dev/null
+++ b/src/daemon/upgrade_part.cpp
@@ -0,0 +1,94 @@
+// What this process shares with another of the same dispatcher, started for an upgrade: bans, and that it is
+// there. Off where operators cannot call, or clients come to a port of the kernel's choice.
+#include <algorithm>
+#include <cstdlib>
+#include <iterator>
+#include <string>
+
+#include "daemon/parts.h"
+#include "log/log.h"
+#include "net/event_loop.h"
+#include "upgrade/shared_folder.h"
+
+namespace aldersill {
+namespace {
+
+// A ban that the other process was told binds this one as well, from the answer on.
+constexpr Micros kLookEvery = 100 * kMillisecond;
+
+class UpgradePart : public Part {
+ public:
+  explicit UpgradePart(const Surroundings& around)
+      : around_(around), look_(around.base, [this] { Look(); }) {}
+
+  void Start(const Config& c) override {
+    Offers& offers = *around_.offers;
+    offers.other_processes = [this] { return folder_ ? folder_->Others() : upgrade::OtherProcesses{}; };
+    offers.processes_listening = [this] {
+      return folder_ ? folder_->OthersListening() : upgrade::OtherProcesses{};
+    };
+    offers.tell_listening = [this](bool listens) {
+      if (folder_) folder_->TellListening(listens);
+    };
+    offers.keep_ban = [this](const std::string& worker, bool banned) { Keep(worker, banned); };
+    const char* root = std::getenv("TMPDIR");
+    if (!c.mgmt || c.listen.port == 0 || root == nullptr || *root == '\0') return;
+    try {
+      folder_.emplace(std::string(root) + "/aldersill-" + ToText(c.listen),
+                      static_cast<std::uint64_t>(around_.now()) * 1'000);
+    } catch (const std::runtime_error& e) {
+      return Log(LogLevel::kWarning, "upgrade_unshared", {{"why", e.what()}});
+    }
+    TakeOver();
+    look_.Set(kLookEvery);
+  }
+
+ private:
+  void Look() {
+    look_.Set(kLookEvery);
+    if (folder_->BansChanged()) TakeOver();
+  }
+
+  void TakeOver() {
+    const std::optional<upgrade::BanList> bans = folder_->ReadBans();
+    if (!bans) return Log(LogLevel::kWarning, "bans_unreadable", {{"effect", "those in force stay"}});
+    Apply(*bans);
+  }
+
+  void Apply(const upgrade::BanList& bans) {
+    const upgrade::BanList before = around_.reducer->banned();
+    for (const std::string& worker : bans) {
+      if (!before.contains(worker)) around_.sink->Tell(WorkerBanned{worker, true});
+    }
+    for (const std::string& worker : before) {
+      if (!bans.contains(worker)) around_.sink->Tell(WorkerBanned{worker, false});
+    }
+  }
+
+  void Keep(const std::string& worker, bool banned) {
+    if (!folder_) return around_.sink->Tell(WorkerBanned{worker, banned});
+    try {
+      Apply(folder_->ChangeBans([&](upgrade::BanList* bans) {
+        if (banned)
+          bans->insert(worker);
+        else
+          bans->erase(worker);
+      }));
+    } catch (const std::runtime_error& e) {
+      Log(LogLevel::kWarning, "ban_unshared", {{"worker", worker}, {"why", e.what()}});
+      around_.sink->Tell(WorkerBanned{worker, banned});
+    }
+  }
+
+  const Surroundings around_;
+  std::optional<upgrade::SharedFolder> folder_;
+  Timer look_;
+};
+
+}  // namespace
+
+std::unique_ptr<Part> MakeUpgradePart(const Surroundings& surroundings) {
+  return std::make_unique<UpgradePart>(surroundings);
+}
+
+}  // namespace aldersill
--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -45,6 +45,8 @@
 // Less than this, and than half of what it may take, is too little for a job to be begun.
 constexpr Micros kTooLittle = 500 * kMillisecond;
 constexpr Micros kCloseEvery = 20 * kMillisecond;
+// A handshake that is under way takes no longer; it ends at the listener where it began.
+constexpr Micros kHandshake = 200 * kMillisecond;
 constexpr Micros kBusyAdvice = 500 * kMillisecond;
 
 // For the log, of a request that may be no good: its first.
@@ -372,22 +374,32 @@
       ready_(std::move(ready)),
       listener_(Open(listen)),
       drain_timer_(base, [this] { CloseIdle(); }),
+      leave_timer_(base, [this] { StopListening(); }),
       room_timer_(base, [this] { MindTheDoor(); }),
       turned_away_timer_(base, [this] { TellTurnedAway(false); }) {}
 ClientFront::~ClientFront() { TellTurnedAway(true); }
 
 EventPtr<evconnlistener> ClientFront::Open(const Endpoint& listen) {
-  EventPtr<evconnlistener> listener = ListenOn(base_, listen, "listen", &ClientFront::OnAccept, this);
+  EventPtr<evconnlistener> listener =
+      BindOn(base_, listen, "listen", s_.shares_endpoint, &ClientFront::OnAccept, this);
   evconnlistener_set_error_cb(listener.get(), &ClientFront::OnAcceptFailed);
   return listener;
 }
 
 void ClientFront::Adopt(ClientFrontSettings settings, EventPtr<evconnlistener> listener) {
   s_ = std::move(settings);
-  if (listener != nullptr) listener_ = std::move(listener);
+  if (listener != nullptr) {
+    listener_ = std::move(listener);
+    if (listens_) Listen();
+  }
   MindTheDoor();
 }
 
+void ClientFront::Listen() {
+  listens_ = true;
+  StartListening(listener_.get());
+}
+
 int ClientFront::port() const { return PortOf(evconnlistener_get_fd(listener_.get())); }
 
 void ClientFront::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
@@ -428,6 +440,7 @@
 
 // Where nobody can be spared, newcomers wait in the listen queue: instance links need the other descriptors.
 void ClientFront::MindTheDoor() {
+  if (!listens_) return;
   if (connections_.size() < s_.most_connections || MakeRoom()) {
     evconnlistener_enable(listener_.get());
     return;
@@ -436,6 +449,7 @@
 }
 
 void ClientFront::ShutDoor() {
+  if (!listens_) return;
   Log(LogLevel::kWarning, "client_connections_full",
       {{"connections", connections_.size()}, {"with_a_request", held_.size()}});
   evconnlistener_disable(listener_.get());
@@ -485,6 +499,23 @@
   CloseIdle();
 }
 
+void ClientFront::LeaveNewcomersTo(unsigned number) {
+  if (!LeadNewcomersTo(evconnlistener_get_fd(listener_.get()), number))
+    return Log(LogLevel::kWarning, "newcomers_not_led", {{"effect", "listens until its end"}});
+  last_accept_ = SteadyNow();
+  leave_timer_.Set(kHandshake);
+}
+
+// Those whose handshake was under way are in the queue by now, or have been taken.
+void ClientFront::StopListening() {
+  const Micros since = SinceLastAccept();
+  if (since < kHandshake) return leave_timer_.Set(kHandshake - since);
+  listens_ = false;
+  room_timer_.Clear();
+  evconnlistener_disable(listener_.get());
+  listener_.reset();
+}
+
 void ClientFront::CloseIdle() {
   const bool late = SteadyNow() >= AnswerBy();
   for (const auto& [connection, owned] : connections_) {
--- a/src/http/client_front.h
+++ b/src/http/client_front.h
@@ -21,17 +21,21 @@
 struct ClientFrontSettings {
   std::unordered_map<std::string, bool> keyed;  // by class, whether its jobs carry a key
   std::size_t most_connections = 0;
-  std::size_t most_bytes = 0;   // of requests that have not come whole, over all connections
-  Micros longest_deadline = 0;  // of all classes
+  std::size_t most_bytes = 0;    // of requests that have not come whole, over all connections
+  Micros longest_deadline = 0;   // of all classes
+  bool shares_endpoint = false;  // with other processes of this dispatcher
 };
 
 class ClientFront {
  public:
-  // `ready`: what GET /-/ready is answered by. Throws std::runtime_error if it cannot listen.
+  // `ready`: what GET /-/ready is answered by. Takes its endpoint, and no client before Listen. Throws
+  // std::runtime_error if it cannot have the endpoint.
   ClientFront(event_base* base, const Endpoint& listen, ClientFrontSettings settings, EventSink* sink,
               std::function<bool()> ready);
   ~ClientFront();
 
+  void Listen();
+  bool Listens() const { return listens_; }
   // New settings. `listener`: in place of the one it has; null keeps that.
   void Adopt(ClientFrontSettings settings, EventPtr<evconnlistener> listener);
   // Where a new endpoint will be listened on once it is adopted. Throws std::runtime_error if it cannot be.
@@ -43,6 +47,9 @@
 
   // From now on connections end between requests; new ones are still taken.
   void BeginDrain();
+  // In a drain, where other processes share the endpoint: newcomers go to the one of this number, and once
+  // those that were on their way are taken, none come here any more.
+  void LeaveNewcomersTo(unsigned number);
   // No request in hand, and nobody left to whom an answer is still on its way.
   bool Quiet() const;
   Micros SinceLastAccept() const { return SteadyNow() - last_accept_; }
@@ -61,6 +68,7 @@
   void MindTheDoor();
   void ShutDoor();  // for a moment
   void CloseIdle();
+  void StopListening();
   // After SIGTERM: when all answers have to be out, and how long from now a request that comes so late has;
   // nothing for one that comes in time.
   Micros AnswerBy() const;
@@ -71,9 +79,11 @@
   EventSink* sink_;
   std::function<bool()> ready_;
   EventPtr<evconnlistener> listener_;
+  bool listens_ = false;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_map<std::uint64_t, Connection*> held_;  // requests that wait for their answer
   Timer drain_timer_;
+  Timer leave_timer_;
   Timer room_timer_;
   TurnedAwayNotices turned_away_;
   Timer turned_away_timer_;
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -64,6 +64,14 @@
 // With TCP_NODELAY, which accepted sockets take over from it. Throws std::runtime_error that names the field.
 EventPtr<evconnlistener> ListenOn(event_base* base, const Endpoint& endpoint, const char* field,
                                   evconnlistener_cb accepted, void* arg);
+// The same, but nobody can connect before StartListening. `shared`: other processes of this user may have the
+// endpoint as well, and the kernel deals out who comes.
+EventPtr<evconnlistener> BindOn(event_base* base, const Endpoint& endpoint, const char* field, bool shared,
+                                evconnlistener_cb accepted, void* arg);
+void StartListening(evconnlistener* listener);
+// Of the processes that share an endpoint, by the order in which they began to listen: who comes goes to this
+// one from now on, where there is one of that number. False where the kernel does not do that.
+bool LeadNewcomersTo(evutil_socket_t listener, unsigned number);
 int PortOf(evutil_socket_t fd);  // where it listens: the kernel chose if the endpoint had none
 
 }  // namespace aldersill
