--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -106,6 +106,87 @@
                                         r.deadline - now_, r.job->work, r.job->slots, r.job->is_retry});
 }
 
+std::vector<JobInHand> Reducer::JobsInHand() const {
+  std::vector<JobInHand> jobs;
+  for (const auto& [client, number] : by_client_) {
+    const Request& r = requests_.at(number);
+    if (client.front != ClientRef::Front::kHttp || r.open > 1) continue;
+    JobInHand in_hand{client, r.job, r.deadline - now_, r.first_run != 0 || r.may_have_run, {}, ""};
+    if (r.open == 1) {
+      const auto running =
+          std::ranges::find_if(r.executions, [this](ExecutionNo x) { return executions_.contains(x); });
+      const Execution& x = executions_.at(*running);
+      if (!x.handed_over || x.source != Instance::Source::kDiscovery) continue;
+      in_hand.running = *running;
+      in_hand.worker = x.instance;
+    } else if (!r.executions.empty()) {
+      continue;  // what its attempts came to is this process's to weigh
+    }
+    jobs.push_back(std::move(in_hand));
+  }
+  return jobs;
+}
+
+void Reducer::On(JobHandedAway&& e) {
+  const auto found = by_client_.find(e.client);
+  if (found == by_client_.end()) return;
+  const std::uint64_t number = found->second;
+  by_client_.erase(found);
+  Request& r = requests_.at(number);
+  r.answered = true;
+  TellModuleOf(r, pulleyrouter::ClientGone{ModuleId(number)});
+  for (const ExecutionNo x : r.executions) {
+    if (executions_.erase(x) == 0) continue;
+    Ask(ClearTimer{{TimerKey::Wait::kGiveUp, static_cast<std::uint64_t>(x)}});
+    --r.open;
+    TellModuleOf(
+        r,
+        pulleyrouter::AttemptEnded{
+            ModuleId(number), static_cast<int>(r.executions.size()) - 1, Outcome::kCancelled, true, 0, {}});
+  }
+  ForgetIfDone(number);
+}
+
+void Reducer::On(JobAdopted&& e) {
+  const auto klass = class_of_.find(e.job.klass);
+  if (klass == class_of_.end()) return Ask(Answer{e.client, Failure{}});
+  const std::uint64_t number = next_request_++;
+  const ExecutionNo execution{next_execution_++};
+  Request& r = requests_[number];
+  r.client = e.client;
+  r.counter = klass->second.counter;
+  r.module = kNoModule;
+  r.may_have_run = e.may_have_run;
+  r.taken = now_;
+  r.deadline = now_ + std::max<Micros>(1, e.job.time_left);
+  r.job = std::make_shared<const Job>(std::move(e.job));
+  r.executions = {execution};
+  r.open = 1;
+  by_client_[r.client] = number;
+  ++counters_.classes[r.counter].taken;
+  executions_[execution] = {.request = number,
+                            .instance = std::move(e.worker),
+                            .sent = now_,
+                            .start_by = now_,
+                            .give_up_at = r.deadline,
+                            .handed_over = true,
+                            .handed_at = now_};
+  Ask(SetTimer{{TimerKey::Wait::kGiveUp, static_cast<std::uint64_t>(execution)}, r.deadline - now_});
+  Ask(ResumeExecution{execution, r.job, e.resume});
+}
+
+void Reducer::FinishAdopted(std::uint64_t number, Outcome outcome) {
+  const Request& r = requests_.at(number);
+  const auto klass = class_of_.find(r.job->klass);
+  const bool known = klass != class_of_.end();
+  const auto c = known ? s_.module.classes[klass->second.setting] : pulleyrouter::ClassSettings{};
+  const bool harmless = c.repeat == pulleyrouter::Repeat::kRepeatable ||
+                        (c.repeat == pulleyrouter::Repeat::kKeyed && c.scope == pulleyrouter::KeyScope::kAll);
+  if (harmless || (!MayHaveRun(outcome) && !r.may_have_run))
+    return Finish(number, Nack{Nack::Why::kAfterAttempts, s_.module.max_retry_after});
+  Finish(number, Failure{now_ >= r.deadline ? Failure::Why::kTooLate : Failure::Why::kFailed});
+}
+
 void Reducer::On(RequestTurnedAway&& e) { ++counters_.turned_away[e.status]; }
 
 void Reducer::On(ClientLeft&& e) {
@@ -120,6 +201,9 @@
   r.answered = true;  // nobody is left to answer
   ++counters_.classes[r.counter].left;
   TellModuleOf(r, pulleyrouter::ClientGone{ModuleId(number)});
+  // As a module would have it: what is called off is of use to nobody.
+  if (r.module == kNoModule && s_.module.cancel)
+    return End(r.executions.front(), Outcome::kCancelled, "", {}, true);
   ForgetIfDone(number);
 }
 
@@ -430,6 +514,7 @@
     counters_.classes[r.counter].served_ms += static_cast<std::uint64_t>((now_ - r.taken) / kMillisecond);
     Finish(x.request, Served{std::move(result)});
   }
+  if (r.module == kNoModule && !r.answered) FinishAdopted(x.request, outcome);
   TellModuleOf(r, pulleyrouter::AttemptEnded{ModuleId(x.request), x.attempt, outcome, r.answered,
                                              now_ - x.sent, report});
   ForgetIfDone(x.request);
@@ -463,7 +548,7 @@
   if (found == requests_.end() || found->second.open > 0) return;
   const Request& r = found->second;
   if (r.job->guard_repeats) repeats_.End(r.job->id, r.first_run);
-  --modules_.at(r.module).open;
+  if (r.module != kNoModule) --modules_.at(r.module).open;
   requests_.erase(found);
 }
 
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -5,6 +5,7 @@
 #define ALDERSILL_SRC_CORE_REDUCER_H_
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,16 +35,22 @@
   }
   // Known workers that get nothing new now: banned, draining, or left alone by the decision module.
   std::size_t AvoidedWorkers() const;
+  // Those of HTTP clients that have not been tried, or run at a worker of discovery's list.
+  std::vector<JobInHand> JobsInHand() const;
   const std::set<std::string>& banned() const { return banned_; }
   // Whether the worker list may be acted on, and discovery, where there is one, has told it to this process.
   bool ListConfirmed() const { return !distrusted_ && (heard_ || !s_.has_discovery); }
 
  private:
+  // Of an adopted job, on which no module decides: it is not tried again here.
+  static constexpr std::uint64_t kNoModule = std::numeric_limits<std::uint64_t>::max();
+
   struct Request {
     ClientRef client;
     std::shared_ptr<const Job> job;
-    std::uint64_t module = 0;  // which one decides on it, from first to last
-    int counter = 0;           // of its class, in counters_.classes
+    std::uint64_t module = 0;   // which one decides on it, from first to last
+    int counter = 0;            // of its class, in counters_.classes
+    bool may_have_run = false;  // of an adopted job, before it came here
     Micros taken = 0;
     Micros deadline = 0;
     Micros start_by = 0;   // of a repeat: the window of the run before, known by the job's own id
@@ -67,6 +74,8 @@
 
   void On(RequestTaken&& e);
   void On(RequestTurnedAway&& e);
+  void On(JobHandedAway&& e);
+  void On(JobAdopted&& e);
   void On(ClientLeft&& e);
   void On(ExecutionConnected&& e);
   void On(ExecutionHandedOver&& e);
@@ -103,7 +112,11 @@
   void TellModules(const pulleyrouter::Event& event) {
     for (const auto& [number, module] : modules_) TellModule(number, event);
   }
-  void TellModuleOf(const Request& r, pulleyrouter::Event event) { TellModule(r.module, std::move(event)); }
+  void TellModuleOf(const Request& r, pulleyrouter::Event event) {
+    if (r.module != kNoModule) TellModule(r.module, std::move(event));
+  }
+  // The end of an adopted job whose attempt was not served: no module knows of it.
+  void FinishAdopted(std::uint64_t number, Outcome outcome);
   // Discovery's list may not be acted on any more: nothing new goes to its instances until it is good again.
   void Distrust();
   // Ends what is decided but not handed over and may not go to its instance any more.
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -100,6 +100,19 @@
   std::string why;
   std::string id;  // empty where none was read
 };
+// Another process of this dispatcher has the job now, and answers it.
+struct JobHandedAway {
+  ClientRef client;
+};
+// A job that another process of this dispatcher had in hand, with an attempt that its worker has whole. It is
+// carried on by ResumeExecution under the same number.
+struct JobAdopted {
+  ClientRef client;
+  Job job;
+  std::string worker;
+  bool may_have_run = false;  // by an attempt before this one
+  std::uint64_t resume = 0;
+};
 struct ClientLeft {
   ClientRef client;
 };
@@ -152,10 +165,10 @@
   Micros elapsed = 0;
   LoadReport report;
 };
-using Event = std::variant<RequestTaken, RequestTurnedAway, ClientLeft, ExecutionConnected,
-                           ExecutionHandedOver, ExecutionProgress, ExecutionEnded, ExecutionReleased,
-                           TimerDue, NameTableNews, NameTableFailed, NameTableGood, ProbeAnswered,
-                           SettingsChanged, SettingsRefused, WorkerBanned>;
+using Event = std::variant<RequestTaken, JobHandedAway, JobAdopted, RequestTurnedAway, ClientLeft,
+                           ExecutionConnected, ExecutionHandedOver, ExecutionProgress, ExecutionEnded,
+                           ExecutionReleased, TimerDue, NameTableNews, NameTableFailed, NameTableGood,
+                           ProbeAnswered, SettingsChanged, SettingsRefused, WorkerBanned>;
 
 // ---- Effects ----
 
@@ -168,6 +181,11 @@
   Micros time_left = 0;
   ClientRef client{};  // whom it is for
 };
+struct ResumeExecution {  // of JobAdopted
+  ExecutionNo execution{};
+  std::shared_ptr<const Job> job;
+  std::uint64_t resume = 0;
+};
 struct HandOverExecution {  // one that has connected: its first byte may go out now, and at no later time
   ExecutionNo execution{};
   Instance::Source source = Instance::Source::kDiscovery;
@@ -208,8 +226,18 @@
 struct LogLine {
   std::string text;
 };
-using Effect = std::variant<StartExecution, HandOverExecution, StopExecution, Answer, SetTimer, ClearTimer,
-                            ProbeInstance, WatchNameTable, LogLine>;
+using Effect = std::variant<StartExecution, ResumeExecution, HandOverExecution, StopExecution, Answer,
+                            SetTimer, ClearTimer, ProbeInstance, WatchNameTable, LogLine>;
+
+// A job as it could be handed to another process of this dispatcher.
+struct JobInHand {
+  ClientRef client;
+  std::shared_ptr<const Job> job;
+  Micros time_left = 0;
+  bool may_have_run = false;           // before the attempt that runs now
+  std::optional<ExecutionNo> running;  // nothing where it has not been tried
+  std::string worker;                  // that runs it
+};
 
 // Takes events in; handed to every front and link, so that none of them knows the reducer or another.
 class EventSink {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -106,6 +106,9 @@
   }
   if (auto* runner = offers_.runners[static_cast<std::size_t>(e.source)]) runner->Start(e);
 }
+void Daemon::Do(const ResumeExecution& e) {
+  if (offers_.resume) offers_.resume(e);
+}
 void Daemon::Do(const HandOverExecution& e) {
   if (auto* runner = offers_.runners[static_cast<std::size_t>(e.source)]) runner->HandOver(e);
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -26,6 +26,7 @@
 
  private:
   void Do(const StartExecution& e);
+  void Do(const ResumeExecution& e);
   void Do(const HandOverExecution& e);
   void Do(const StopExecution& e);
   void Do(const Answer& e);
--- a/src/daemon/part.h
+++ b/src/daemon/part.h
@@ -52,6 +52,11 @@
   // Those of them to which clients come, and whether they come to this one.
   std::function<upgrade::OtherProcesses()> processes_listening;
   std::function<void(bool)> tell_listening;
+  // Carries on with an attempt that another process handed over.
+  std::function<void(const ResumeExecution&)> resume;
+  // Where jobs are handed to this process, and to the newest of the others that listens; empty where there is
+  // none.
+  std::function<std::string()> own_job_socket, other_job_socket;
   // Tells the core of a ban, and keeps it for the other processes.
   std::function<void(const std::string& worker, bool banned)> keep_ban;
   // Called with each walk: what the part adds to the MIB.
--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/readiness.h"
+#include "daemon/job_transfer.h"
 #include "daemon/parts.h"
 #include "http/client_front.h"
 #include "http/discovery.h"
@@ -66,6 +67,9 @@
     if (discovery_ != nullptr && !c.module.subscribe) discovery_->Watch();
     clients_ = std::make_unique<ClientFront>(around_.base, c.listen, ForClients(c), around_.sink,
                                              [this] { return Ready(); });
+    transfer_ = std::make_unique<JobTransfer>(around_, clients_.get(), instances_.get());
+    around_.offers->resume = [this](const ResumeExecution& resume) { transfer_->Resume(resume); };
+    ReceiveJobs();
     // Beside another process nobody is served worse for waiting until this one can serve.
     if (around_.offers->other_processes().count() == 0)
       Listen();
@@ -130,6 +134,7 @@
     // They are numbered as they came; newcomers go to the newest of the others.
     if (others.count() > 0 && clients_->Listens())
       clients_->LeaveNewcomersTo(static_cast<unsigned>(others.newer > 0 ? others.count() : others.older - 1));
+    if (others.count() > 0) transfer_->SendTo(around_.offers->other_job_socket());
   }
   bool Quiet() const override { return clients_->Quiet() && clients_->SinceLastAccept() >= kQuietFor; }
 
@@ -145,6 +150,16 @@
     if (!Ready()) return "no worker list yet";
     return clients_->Listens() ? "" : "takes no new clients";
   }
+  // Where that fails, only what is in hand at an upgrade is worse off.
+  void ReceiveJobs() {
+    const std::string path = around_.offers->own_job_socket();
+    if (path.empty()) return;
+    try {
+      transfer_->ReceiveAt(path);
+    } catch (const std::runtime_error& e) {
+      Log(LogLevel::kWarning, "jobs_not_received", {{"why", e.what()}});
+    }
+  }
   void Listen() {
     clients_->Listen();
     around_.offers->tell_listening(true);
@@ -160,6 +175,7 @@
   std::unique_ptr<InstanceLink> instances_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<ClientFront> clients_;
+  std::unique_ptr<JobTransfer> transfer_;
   Endpoint listen_;
   std::optional<Endpoint> discovered_at_;
   EventPtr<evconnlistener> door_;  // opened for a configuration that is not yet taken over
--- a/src/daemon/upgrade_part.cpp
+++ b/src/daemon/upgrade_part.cpp
@@ -30,6 +30,8 @@
     offers.tell_listening = [this](bool listens) {
       if (folder_) folder_->TellListening(listens);
     };
+    offers.own_job_socket = [this] { return folder_ ? folder_->OwnSocket() : std::string(); };
+    offers.other_job_socket = [this] { return folder_ ? folder_->NewestListeningSocket() : std::string(); };
     offers.keep_ban = [this](const std::string& worker, bool banned) { Keep(worker, banned); };
     const char* root = std::getenv("TMPDIR");
     if (!c.mgmt || c.listen.port == 0 || root == nullptr || *root == '\0') return;
--- a/src/http/client_front.cpp
+++ b/src/http/client_front.cpp
@@ -162,6 +162,20 @@
   }
 
   std::uint64_t client() const { return client_; }  // 0 without a request in hand
+  // What another process needs to answer the request in hand; nothing where bytes behind it would be lost.
+  std::optional<HeldConnection> Held() const {
+    if (state_ != State::kHeld || rest_ != nullptr || Waiting() || Ended()) return std::nullopt;
+    return HeldConnection{bufferevent_getfd(stream_.get()), keep_ && !last_, head_only_};
+  }
+  // Goes on with the request that another process read.
+  void Hold(std::uint64_t client, const HeldConnection& held) {
+    timer_.Clear();
+    ++served_;
+    keep_ = held.keep_alive;
+    head_only_ = held.head_only;
+    state_ = State::kHeld;
+    client_ = client;
+  }
 
   // Asks the system. What lies before the end hides it: that is read first, at once.
   bool Ended() const {
@@ -493,6 +507,30 @@
   return found != held_.end() && found->second->Ended();
 }
 
+std::optional<HeldConnection> ClientFront::Borrow(std::uint64_t client) const {
+  const auto found = held_.find(client);
+  if (found == held_.end()) return std::nullopt;
+  return found->second->Held();
+}
+
+void ClientFront::Forget(std::uint64_t client) {
+  const auto found = held_.find(client);
+  if (found == held_.end()) return;
+  Connection* connection = found->second;
+  held_.erase(found);
+  connections_.erase(connection);
+}
+
+std::uint64_t ClientFront::AdoptHeld(const HeldConnection& held) {
+  auto connection = std::make_unique<Connection>(this, held.fd);
+  Connection* raw = connection.get();
+  connections_.emplace(raw, std::move(connection));
+  const std::uint64_t client = next_++;
+  held_.emplace(client, raw);
+  raw->Hold(client, held);
+  return client;
+}
+
 void ClientFront::BeginDrain() {
   if (drain_began_ != 0) return;
   drain_began_ = last_accept_ = SteadyNow();
--- a/src/http/client_front.h
+++ b/src/http/client_front.h
@@ -26,6 +26,13 @@
   bool shares_endpoint = false;  // with other processes of this dispatcher
 };
 
+// A connection with a request in hand, between two processes.
+struct HeldConnection {
+  evutil_socket_t fd = -1;
+  bool keep_alive = false;  // after the answer
+  bool head_only = false;   // the answer goes without its body
+};
+
 class ClientFront {
  public:
   // `ready`: what GET /-/ready is answered by. Takes its endpoint, and no client before Listen. Throws
@@ -45,6 +52,14 @@
   // Whether a client with a request in hand has ended its connection, read or not.
   bool HasLeft(std::uint64_t client) const;
 
+  // The connection of a client that waits for its answer; nothing for one that has gone, or has sent more
+  // than its request. It stays this front's until Forget.
+  std::optional<HeldConnection> Borrow(std::uint64_t client) const;
+  // Lets go of it without a word to the client or the core: another process has it.
+  void Forget(std::uint64_t client);
+  // Takes one over, and gives the client's number here.
+  std::uint64_t AdoptHeld(const HeldConnection& held);
+
   // From now on connections end between requests; new ones are still taken.
   void BeginDrain();
   // In a drain, where other processes share the endpoint: newcomers go to the one of this number, and once
--- a/src/http/instance_link.cpp
+++ b/src/http/instance_link.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::size_t kMostLine = 64 * 1024;  // a line or a report longer than any honest body
 constexpr std::size_t kMostHeaders = 32 * 1024;
+constexpr std::size_t kMostKept = 16 * 1024;  // of an answer, for another process
 
 // A value goes onto the wire as it came, but never with the means to end its line.
 std::string HeaderLine(const char* name, const std::string& value) {
@@ -94,6 +95,19 @@
     Write(message);
     probe_timer_.Set(link_->dial_timeout_ * 4);  // a probe that takes longer tells nothing
   }
+  std::optional<RunningExecution> Running() const {
+    if (!handed_over_ || settled_ || whole_ || received_.size() > kMostKept) return std::nullopt;
+    return RunningExecution{bufferevent_getfd(stream_.get()), address, received_};
+  }
+  // The instance has the request already, and has answered with this much.
+  void Resume(ExecutionNo execution, std::shared_ptr<const Job> job, const std::string& received) {
+    Run(execution, std::move(job));
+    handed_over_ = true;
+    received_ = received;
+    Parse(received.data(), received.size());
+    notes_.clear();  // told before
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+  }
   // Lets go of the execution without a word: the core has ended it.
   void Abandon() { execution_.reset(); }
 
@@ -119,7 +133,9 @@
     auto* c = static_cast<Connection*>(arg);
     evbuffer* input = bufferevent_get_input(stream);
     const std::size_t size = evbuffer_get_length(input);
-    c->Parse(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size);
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+    if (c->execution_ && c->received_.size() <= kMostKept) c->received_.append(bytes, size);
+    c->Parse(bytes, size);
     evbuffer_drain(input, size);
     // The answer first: what follows its last line in the same read is no part of it, however it is framed.
     if (c->whole_ || c->settled_) return c->Settle();
@@ -295,6 +311,7 @@
   bool declined_ = false;
   std::size_t header_bytes_ = 0;
   std::string field_, value_, line_;
+  std::string received_;  // while it runs, as another process may have to read it again; over kMostKept: cut
   LoadReport load_;
   ExecutionEnded last_;
   std::vector<ExecutionProgress> notes_;
@@ -312,6 +329,32 @@
 
 InstanceLink::~InstanceLink() = default;
 
+std::optional<RunningExecution> InstanceLink::Borrow(ExecutionNo execution) const {
+  const auto found = busy_.find(execution);
+  if (found == busy_.end()) return std::nullopt;
+  return found->second->Running();
+}
+
+void InstanceLink::Forget(ExecutionNo execution) {
+  const auto found = busy_.find(execution);
+  if (found == busy_.end()) return;
+  Connection* connection = found->second;
+  busy_.erase(found);
+  connection->Abandon();
+  Remove(connection);
+}
+
+void InstanceLink::Resume(ExecutionNo execution, std::shared_ptr<const Job> job,
+                          const RunningExecution& running) {
+  EventPtr<bufferevent> stream(
+      bufferevent_socket_new(base_, running.fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  auto connection = std::make_unique<Connection>(this, running.address, std::move(stream));
+  Connection* raw = connection.get();
+  connections_.emplace(raw, std::move(connection));
+  busy_.emplace(execution, raw);
+  raw->Resume(execution, std::move(job), running.received);
+}
+
 InstanceLink::Connection* InstanceLink::Open(const std::string& address) {
   if (connections_.size() >= most_connections_) {
     Log(LogLevel::kWarning, "instance_connections_full",
--- a/src/http/instance_link.h
+++ b/src/http/instance_link.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -18,6 +19,13 @@
 
 namespace aldersill {
 
+// An execution that its instance has whole, between two processes.
+struct RunningExecution {
+  evutil_socket_t fd = -1;
+  std::string address;
+  std::string received;  // of the answer so far
+};
+
 class InstanceLink {
  public:
   InstanceLink(event_base* base, Micros dial_timeout, int most_connections, EventSink* sink);
@@ -28,6 +36,13 @@
   void Start(const StartExecution& start);
   void HandOver(const HandOverExecution& hand_over);
   void Stop(ExecutionNo execution);
+  // Nothing for one that is not handed over, or has answered too much to be told again. It stays this link's
+  // until Forget.
+  std::optional<RunningExecution> Borrow(ExecutionNo execution) const;
+  // Lets go of it without a word: another process has it.
+  void Forget(ExecutionNo execution);
+  // Goes on with one that another process handed over.
+  void Resume(ExecutionNo execution, std::shared_ptr<const Job> job, const RunningExecution& running);
   // Tells the sink.
   void Probe(const ProbeInstance& probe);
   // Tells `done` instead, once, and maybe at once.
--- a/src/upgrade/shared_folder.cpp
+++ b/src/upgrade/shared_folder.cpp
@@ -4,6 +4,7 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
@@ -45,7 +46,7 @@
 // Names of one length, so that they sort as the times do.
 std::string ProcessName(std::uint64_t now) {
   char name[48];
-  std::snprintf(name, sizeof(name), "%s%020llu-%d", kProcess, static_cast<unsigned long long>(now), getpid());
+  std::snprintf(name, sizeof(name), "%s%016llx", kProcess, static_cast<unsigned long long>(now));
   return name;
 }
 
@@ -60,7 +61,7 @@
     : folder_(std::move(folder)), own_(ProcessName(now)) {
   std::error_code error;
   fs::create_directories(folder_, error);
-  OpenFile file(folder_ / own_, O_RDWR | O_CREAT);
+  OpenFile file(folder_ / own_, O_RDWR | O_CREAT | O_EXCL);
   if (!file.opened() || !file.Lock(LOCK_EX | LOCK_NB)) Throw("cannot keep", folder_ / own_);
   own_fd_ = file.Release();
 }
@@ -82,20 +83,38 @@
 
 OtherProcesses SharedFolder::Count(bool listening_only) const {
   OtherProcesses others;
+  for (const std::string& name : Present(listening_only)) ++(name < own_ ? others.older : others.newer);
+  return others;
+}
+
+std::vector<std::string> SharedFolder::Present(bool listening_only) const {
+  std::vector<std::string> names;
   std::error_code error;
   for (fs::directory_iterator at(folder_, error), end; !error && at != end; at.increment(error)) {
     const std::string name = at->path().filename().string();
     if (!name.starts_with(kProcess) || name == own_) continue;
-    if (IsHeld(at->path())) {
-      std::error_code unread;
-      if (listening_only && fs::file_size(at->path(), unread) == 0) continue;
-      ++(name < own_ ? others.older : others.newer);
-    } else {
-      std::error_code ignored;
-      fs::remove(at->path(), ignored);  // of one that was killed
+    std::error_code ignored;
+    if (!IsHeld(at->path())) {  // of one that was killed
+      fs::remove(at->path(), ignored);
+      fs::remove(SocketOf(name), ignored);
+    } else if (!listening_only || fs::file_size(at->path(), ignored) > 0) {
+      names.push_back(name);
     }
   }
-  return others;
+  std::ranges::sort(names);
+  return names;
+}
+
+// A socket's path must be short: the time alone.
+std::string SharedFolder::SocketOf(const std::string& process) const {
+  return (folder_ / ("jobs-" + process.substr(std::strlen(kProcess)))).string();
+}
+
+std::string SharedFolder::OwnSocket() const { return SocketOf(own_); }
+
+std::string SharedFolder::NewestListeningSocket() const {
+  const std::vector<std::string> names = Present(true);
+  return names.empty() ? "" : SocketOf(names.back());
 }
 
 bool SharedFolder::BansChanged() const {
--- a/src/upgrade/shared_folder.h
+++ b/src/upgrade/shared_folder.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "upgrade/ban_list.h"
 
@@ -34,6 +35,10 @@
   // Those of them that listen for clients, by what they told last.
   OtherProcesses OthersListening() const;
   void TellListening(bool listens);
+  // Where this process may be reached by the others, and the newest of those that listen; empty where none
+  // does.
+  std::string OwnSocket() const;
+  std::string NewestListeningSocket() const;
   // Whether the bans may have been written since they were last read here.
   bool BansChanged() const;
   // Empty where none were ever kept; nothing where what lies there is no list of bans.
@@ -43,7 +48,10 @@
   BanList ChangeBans(const std::function<void(BanList*)>& change);
 
  private:
+  // The others' files, in the order in which they came.
+  std::vector<std::string> Present(bool listening_only) const;
   OtherProcesses Count(bool listening_only) const;
+  std::string SocketOf(const std::string& process) const;
 
   const std::filesystem::path folder_;
   std::string own_;  // the name of this process's file
