Refuse a file read anew that lacks a field the one before had

Need: on SIGHUP some files are broken: empty, cut off, short of a key, a deadline or attempts not over 0; the old settings stay, whole. A missing optional key passed unseen. Change: the paths of all fields are kept, and one that is gone is refused by its name, but for the workers known and what only some effects of a class need. Test: admin_test, every key of the top level, settings, limits, rules and of a class taken out by itself; counted in reconfig_failed, jobs served all along.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -298,6 +298,49 @@
   }
 }
 
+// What the file has: fields' paths, and of lists without items `path[]`, as nothing can be told of those.
+struct FieldPaths {
+  std::set<std::string> fields, empty_lists;
+};
+
+FieldPaths PathsOf(const Json& json, const std::string& path) {
+  FieldPaths paths;
+  if (json.is_object()) {
+    for (const auto& [name, value] : json.items()) {
+      if (value.is_null()) continue;
+      const std::string below = path.empty() ? name : path + "." + name;
+      paths.fields.insert(below);
+      paths.fields.merge(PathsOf(value, below).fields);
+      paths.empty_lists.merge(PathsOf(value, below).empty_lists);
+    }
+  }
+  if (!json.is_array()) return paths;
+  if (json.empty()) paths.empty_lists.insert(path + "[]");
+  for (std::size_t i = 0; i < json.size(); ++i) {
+    FieldPaths item = PathsOf(json[i], path + "[]");
+    if (i == 0) paths = std::move(item);
+    std::erase_if(paths.fields,
+                  [&](const std::string& field) { return i > 0 && !item.fields.contains(field); });
+  }
+  return paths;
+}
+
+// Fields that come and go in good files: the workers known, and what only some effects of a class need.
+bool MayBeLeftOut(const std::string& field) {
+  return field.starts_with("known") || field.starts_with("settings.grades[].dedup");
+}
+
+// A file read anew that lacks what the one before had was cut short on its way: nothing of it is taken.
+void RequireFieldsOf(const std::set<std::string>& before, const FieldPaths& now) {
+  for (const std::string& field : before) {
+    const bool of_empty_list = std::ranges::any_of(
+        now.empty_lists, [&](const std::string& list) { return field.starts_with(list); });
+    if (now.fields.contains(field) || of_empty_list || MayBeLeftOut(field)) continue;
+    throw MissingField(field,
+                       field + " is missing: the file read before has it; to do without it, start anew");
+  }
+}
+
 Json ReadJson(const std::string& path, const std::string& field) {
   std::ifstream file(path);
   if (!file) throw ConfigError(field + ": cannot read " + path);
@@ -383,6 +426,9 @@
     throw ConfigError(std::string("settings: ") + e.what());
   }
   c.dial_timeout = settings["limits"]["dialTimeout"].PositiveTime(c.dial_timeout);
+  const FieldPaths paths = PathsOf(json, "");
+  if (before != nullptr) RequireFieldsOf(before->fields, paths);
+  c.fields = paths.fields;
   std::set<std::string> unknown;
   FindUnknown(json, "", &unknown);
   c.unknown.assign(unknown.begin(), unknown.end());
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -67,6 +68,8 @@
   // Fields of the platform's file that its pages do not name, each with the name that may be meant: they are
   // not read, and must not stop the program.
   std::vector<std::string> unknown;
+  // The paths of all fields that the file has, a list's items as []: those that each item has.
+  std::set<std::string> fields;
   // What the file itself says of the fields that a variable may go before.
   struct Written {
     std::string name, listen, discovery, mgmt;
--- a/tests/daemon/admin_test.cpp
+++ b/tests/daemon/admin_test.cpp
@@ -192,6 +192,51 @@
   CHECK(s.Call("RESTART s-1").starts_with("ERR unknown command"));
 }
 
+TEST_CASE("a broken configuration leaves the old one whole, and is counted") {
+  Service s;
+  int refused = 0, taken = 0;
+  const auto reload = [&](const std::string& text, bool good) {
+    s.daemon->Write(text, nlohmann::json::object());
+    s.daemon->Signal(SIGHUP);
+    REQUIRE(s.daemon->Logs(good ? " configuration_adopted" : " configuration_refused "));
+    ++(good ? taken : refused);
+    CHECK(s.Figure("reconfig_failed") == std::to_string(refused) + "|c");
+    CHECK(s.Figure("reconfig_ok") == std::to_string(taken) + "|c");
+    CHECK(s.Post("r" + std::to_string(refused + taken)) == "HTTP/1.1 200 OK");
+  };
+  const std::string whole = s.config.dump();
+  reload("", false);
+  reload(whole.substr(0, whole.size() / 2), false);
+  const std::vector<std::pair<std::string, int>> kOutOfRange = {{"/settings/limits/maxAttempts", 0},
+                                                                {"/settings/grades/0/deadline", 0},
+                                                                {"/settings/grades/0/deadline", -1}};
+  for (const auto& [pointer, value] : kOutOfRange) {
+    nlohmann::json broken = s.config;
+    broken[nlohmann::json::json_pointer(pointer)] = value;
+    reload(broken.dump(), false);
+  }
+  // Short of a key, wherever it lies.
+  for (const char* object : {"", "/settings", "/settings/limits", "/settings/rules", "/settings/grades/0"}) {
+    for (const auto& [name, value] : s.config.at(nlohmann::json::json_pointer(object)).items()) {
+      const std::string path = std::string(object) + "/" + name;
+      if (path == "/known" || path.find("dedup") != std::string::npos || value.is_null()) continue;
+      CAPTURE(path);
+      nlohmann::json broken = s.config;
+      broken.at(nlohmann::json::json_pointer(object)).erase(name);
+      reload(broken.dump(), false);
+    }
+  }
+  nlohmann::json changed = s.config;
+  changed["settings"]["limits"]["maxAttempts"] = 2;
+  nlohmann::json added = changed["settings"]["grades"][0];
+  added["name"] = "added";
+  changed["settings"]["grades"].push_back(added);
+  reload(changed.dump(), true);
+  CHECK(s.Figure("success.added") == "0|c");
+  changed["settings"]["grades"].erase(0);
+  reload(changed.dump(), true);
+}
+
 TEST_CASE("callers that say nothing, half a line, an endless one or many leave room for one that asks") {
   Service s;
   std::vector<Socket> crowd;
--- a/tests/daemon/discovery_crossings_test.cpp
+++ b/tests/daemon/discovery_crossings_test.cpp
@@ -2,6 +2,7 @@
 // list may be acted on, and what of a list is taken.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <functional>
@@ -164,6 +165,16 @@
   probe.Start();
   REQUIRE(s.Until([&] { return met + refused == 2; }));
   CHECK(refused == 1);
+  // Without a descriptor nothing is known; were nobody told, discovery would never be called again.
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit spent{3, before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &spent);
+  probe.Start();
+  const bool told = s.Until([&] { return met + refused == 3; });
+  setrlimit(RLIMIT_NOFILE, &before);
+  REQUIRE(told);
+  CHECK(met == 2);
 }
 
 TEST_CASE("a list that comes byte by byte, indented, is taken whole") {
