Share the descriptors between the processes of one dispatcher while both run

Need: during an upgrade the sockets of both processes together may not exceed the limit. Change: each process counts the others that hold their lock and keeps to its part. No test of its own yet: upgrade_test passes with it.

--- a/src/daemon/part.h
+++ b/src/daemon/part.h
@@ -52,6 +52,8 @@
   // Those of them to which clients come, and whether they come to this one.
   std::function<upgrade::OtherProcesses()> processes_listening;
   std::function<void(bool)> tell_listening;
+  // How many processes hold the dispatcher's descriptors between them from now on, this one included.
+  std::function<void(int processes)> share_descriptors;
   // Carries on with an attempt that another process handed over.
   std::function<void(const ResumeExecution&)> resume;
   // Where jobs are handed to this process, and to the newest of the others that listens; empty where there is
--- a/src/daemon/platform_part.cpp
+++ b/src/daemon/platform_part.cpp
@@ -67,6 +67,11 @@
     if (discovery_ != nullptr && !c.module.subscribe) discovery_->Watch();
     clients_ = std::make_unique<ClientFront>(around_.base, c.listen, ForClients(c), around_.sink,
                                              [this] { return Ready(); });
+    limits_ = LimitsOf(c);
+    around_.offers->share_descriptors = [this](int processes) {
+      processes_ = processes;
+      ApplyLimits(nullptr);
+    };
     transfer_ = std::make_unique<JobTransfer>(around_, clients_.get(), instances_.get());
     around_.offers->resume = [this](const ResumeExecution& resume) { transfer_->Resume(resume); };
     ReceiveJobs();
@@ -106,8 +111,8 @@
   }
   void Abandon() override { door_.reset(); }
   void Adopt(const Config& c) override {
-    instances_->Adopt(c.dial_timeout, Shares(c).instances);
-    clients_->Adopt(ForClients(c), std::move(door_));
+    limits_ = LimitsOf(c);
+    ApplyLimits(std::move(door_));
     listen_ = c.listen;
   }
   void Adopted(const Config& c) override {
@@ -150,6 +155,19 @@
     if (!Ready()) return "no worker list yet";
     return clients_->Listens() ? "" : "takes no new clients";
   }
+  // What the dispatcher may hold, over all its processes.
+  struct Limits {
+    ClientFrontSettings clients;
+    Micros dial_timeout = 0;
+    int instances = 0;
+  };
+  static Limits LimitsOf(const Config& c) { return {ForClients(c), c.dial_timeout, Shares(c).instances}; }
+  void ApplyLimits(EventPtr<evconnlistener> listener) {
+    ClientFrontSettings clients = limits_.clients;
+    clients.most_connections /= static_cast<std::size_t>(processes_);
+    clients_->Adopt(std::move(clients), std::move(listener));
+    instances_->Adopt(limits_.dial_timeout, limits_.instances / processes_);
+  }
   // Where that fails, only what is in hand at an upgrade is worse off.
   void ReceiveJobs() {
     const std::string path = around_.offers->own_job_socket();
@@ -172,6 +190,8 @@
 
   Readiness readiness_{SteadyNow()};
   Timer ready_timer_{around_.base, [this] { ListenOnceReady(); }};
+  Limits limits_;
+  int processes_ = 1;
   std::unique_ptr<InstanceLink> instances_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<ClientFront> clients_;
--- a/src/daemon/upgrade_part.cpp
+++ b/src/daemon/upgrade_part.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <iterator>
 #include <string>
+#include <utility>
 
 #include "daemon/parts.h"
 #include "log/log.h"
@@ -48,7 +49,13 @@
  private:
   void Look() {
     look_.Set(kLookEvery);
+    // One that was killed changes nothing in the folder: those that are there are counted until they are
+    // gone.
+    if (!folder_->Changed() && others_ == 0) return;
     if (folder_->BansChanged()) TakeOver();
+    const int others = folder_->Others().count();
+    if (std::exchange(others_, others) != others && around_.offers->share_descriptors)
+      around_.offers->share_descriptors(1 + others);
   }
 
   void TakeOver() {
@@ -85,6 +92,7 @@
   const Surroundings around_;
   std::optional<upgrade::SharedFolder> folder_;
   Timer look_;
+  int others_ = 0;
 };
 
 }  // namespace
--- a/src/upgrade/shared_folder.cpp
+++ b/src/upgrade/shared_folder.cpp
@@ -117,6 +117,12 @@
   return names.empty() ? "" : SocketOf(names.back());
 }
 
+bool SharedFolder::Changed() {
+  std::error_code error;
+  const auto written = fs::last_write_time(folder_, error);
+  return !error && std::exchange(looked_at_, written) != written;
+}
+
 bool SharedFolder::BansChanged() const {
   std::error_code error;
   const auto written = fs::last_write_time(folder_ / kBans, error);
--- a/src/upgrade/shared_folder.h
+++ b/src/upgrade/shared_folder.h
@@ -39,6 +39,8 @@
   // does.
   std::string OwnSocket() const;
   std::string NewestListeningSocket() const;
+  // Whether a process may have come or left in order, or the bans been written, since this was last asked.
+  bool Changed();
   // Whether the bans may have been written since they were last read here.
   bool BansChanged() const;
   // Empty where none were ever kept; nothing where what lies there is no list of bans.
@@ -56,7 +58,7 @@
   const std::filesystem::path folder_;
   std::string own_;  // the name of this process's file
   int own_fd_ = -1;
-  std::filesystem::file_time_type read_at_{};
+  std::filesystem::file_time_type read_at_{}, looked_at_{};
 };
 
 }  // namespace aldersill::upgrade
