--- a/include/pulleyrouter/dispatcher.h
+++ b/include/pulleyrouter/dispatcher.h
@@ -60,7 +60,7 @@
   int nodes = 1;     // nodes of this tier, this one included
   double over_share_worth = 1.0;
   bool worth_by_work = false;  // a class's worth is for each unit of its work, else for each request
-  bool subscribe = false;  // the worker list must be asked for
+  bool subscribe = false;      // the worker list must be asked for
   bool tells_start = false;
   Micros progress = 0;  // time between progress notes, 0 for none
   enum class Reports { kNone, kWithAnswers, kProbesOnly } reports = Reports::kNone;
--- a/src/http/codec.cpp
+++ b/src/http/codec.cpp
@@ -11,7 +11,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t kMostValue = 1'024;  // of a field that is passed on
+constexpr std::size_t kMostValue = 1'024;          // of a field that is passed on
 constexpr std::int64_t kMostCost = 3'600'000'000;  // microseconds: no honest guess says more than an hour
 
 LoadReport LoadOf(const Json& json) {
@@ -94,7 +94,9 @@
   job.subject = DecodeSubject(path, job.klass);
   DecodeExtras(Header(request, "req-extra"), &job);
   // A guess at the work, as bare microseconds: of use where it can be read, no reason to turn a job away.
-  if (const auto cost = Figure<std::int64_t>(Header(request, "req-cost")); cost && *cost > 0 && *cost <= kMostCost) job.work = *cost;
+  if (const auto cost = Figure<std::int64_t>(Header(request, "req-cost"));
+      cost && *cost > 0 && *cost <= kMostCost)
+    job.work = *cost;
   job.body = std::move(request.body);
   return job;
 }
--- a/src/http/discovery_clock.h
+++ b/src/http/discovery_clock.h
@@ -34,8 +34,8 @@
     hold_until_ = now + hold;
     next_call_ = now + (pushed() ? 0 : pacing_.BeforeFirst());
   }
-  // A start with a list from before it. Whatever discovery has had since `complete_at` is missing from it, and
-  // counts as told kToldWithin later, though this process was not there to hear it.
+  // A start with a list from before it. Whatever discovery has had since `complete_at` is missing from it,
+  // and counts as told kToldWithin later, though this process was not there to hear it.
   void BeginRemembered(Micros now, Micros complete_at) {
     Begin(now, pushed() ? rules_.drain_grace : rules_.must_ask_in);
     complete_at_ = std::min(now, complete_at);
