--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,9 +1,8 @@
 #include "config/config.h"
 
-#include <fstream>
-
 #include "config/environment.h"
 #include "config/errors.h"
+#include "config/file_reader.h"
 #include "config/operator_file.h"
 #include "config/platform_file.h"
 
@@ -19,7 +18,7 @@
   if (!fronts.empty())
     return fronts;
   for (const char* path : {"deploy/aldersill.yaml", "deploy/fronts.json"}) {
-    if (std::ifstream(path))
+    if (!IsMissingFile(path))
       return path;
   }
   return "";
--- a/src/config/errors.h
+++ b/src/config/errors.h
@@ -27,6 +27,12 @@
   std::string path_;
 };
 
+// A file could not be opened or read completely; the next try may succeed.
+class UnreadableFile : public ConfigError {
+ public:
+  explicit UnreadableFile(const std::string& message) : ConfigError("unreadable_file", "", message) {}
+};
+
 // A required field is not there.
 class MissingField : public ConfigError {
  public:
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "config/errors.h"
+#include "config/file_reader.h"
 #include "config/operator_schema.h"
 #include "config/yaml_section_printer.h"
 #include "config/yaml_section_reader.h"
@@ -15,7 +16,6 @@
 namespace {
 
 constexpr std::size_t kMaxFileBytes = 1 << 20;
-constexpr std::size_t kReadBlockBytes = 4096;
 
 }  // namespace
 
@@ -36,18 +36,7 @@
 }
 
 OperatorSettings ReadOperatorFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file)
-    throw ConfigError(path + ":1: the file cannot be read");
-  // Read in blocks: a buffer of the maximum size would cost its pages at each start and SIGHUP.
-  std::string text;
-  std::array<char, kReadBlockBytes> block{};
-  while (text.size() <= kMaxFileBytes) {
-    file.read(block.data(), block.size());
-    if (file.gcount() <= 0)
-      break;
-    text.append(block.data(), static_cast<std::size_t>(file.gcount()));
-  }
+  const std::string text = ReadFile(path, path + ":1: the file cannot be read", kMaxFileBytes);
   if (text.size() > kMaxFileBytes)
     throw ConfigError(path + ":1: the file is longer than 1 MiB");
   return ParseOperatorText(text, path);
--- a/src/config/platform_file.cpp
+++ b/src/config/platform_file.cpp
@@ -9,6 +9,7 @@
 #include "config/dispatch_settings_reader.h"
 #include "config/environment.h"
 #include "config/errors.h"
+#include "config/file_reader.h"
 #include "config/json_field.h"
 #include "config/platform_fields.h"
 #include "endpoint_list/codec.h"
@@ -20,6 +21,7 @@
 using Json = nlohmann::json;
 
 constexpr int kHexadecimal = 16;
+constexpr std::size_t kMaxFileBytes = std::size_t{64} << 20;
 constexpr int kMinSockets = 64;
 constexpr int kMinMemoryMb = 16;
 
@@ -122,9 +124,9 @@
 }  // namespace
 
 Json ParsePlatformFile(const std::string& path, const std::string& name_in_errors) {
-  std::ifstream file(path);
-  if (!file)
-    throw ConfigError(name_in_errors + ": cannot read " + path);
+  const std::string text = ReadFile(path, name_in_errors + ": cannot read " + path, kMaxFileBytes);
+  if (text.size() > kMaxFileBytes)
+    throw ConfigError(name_in_errors + ": " + path + " is longer than 64 MiB");
   Json json;
   std::string last_key;  // of the value being parsed
   const auto note_key = [&last_key](int, Json::parse_event_t event, Json& parsed) {
@@ -133,7 +135,7 @@
     return true;
   };
   try {
-    json = Json::parse(file, note_key);
+    json = Json::parse(text, note_key);
   } catch (const Json::out_of_range&) {
     throw BadValue(last_key, last_key + " is a number out of range in " + path);
   } catch (const Json::exception&) {
--- a/src/core/attempt_controller.cpp
+++ b/src/core/attempt_controller.cpp
@@ -10,6 +10,8 @@
 namespace aldersill {
 namespace {
 
+using StopReason = StopAttempt::Why;
+
 TimerKey SendDeadlineTimer(AttemptId id) {
   return {.wait = TimerKey::Wait::kSendDeadline, .id = static_cast<std::uint64_t>(id)};
 }
@@ -74,7 +76,8 @@
                                  .source = attempt.source,
                                  .job = request.job,
                                  .time_left = time_left,
-                                 .client = request.client});
+                                 .client = request.client,
+                                 .attempt_number = attempt.attempt_number});
 }
 
 // A connection may come up long after the attempt was decided on, and the timers that limit its wait may fire
@@ -83,9 +86,15 @@
   const Attempt* attempt = Find(connected.attempt);
   if (attempt == nullptr || attempt->sent)
     return;
-  const bool answered = env_.requests.At(attempt->request).answered;
-  if (!MaySend(*attempt) || answered || env_.context.now >= attempt->start_by)
-    return End(connected.attempt, {.outcome = Outcome::kNotSent});
+  const auto end_unsent = [&](StopReason why) {
+    End(connected.attempt, {.outcome = Outcome::kNotSent, .why = why});
+  };
+  if (env_.requests.At(attempt->request).answered)
+    return end_unsent(StopReason::kRequestAnswered);
+  if (!MaySend(*attempt))
+    return end_unsent(StopReason::kWorkerUnavailable);
+  if (env_.context.now >= attempt->start_by)
+    return end_unsent(StopReason::kStartWindowOver);
   env_.context.Emit(SendAttempt{.attempt = connected.attempt,
                                 .source = attempt->source,
                                 .time_left = attempt->give_up_at - env_.context.now});
@@ -130,7 +139,8 @@
   if (attempt == nullptr)
     return;
   // One that was not sent by then cannot have run, and will not once it is stopped.
-  End(id, {.outcome = attempt->sent ? Outcome::kTimeout : Outcome::kConnectFailed});
+  End(id,
+      {.outcome = attempt->sent ? Outcome::kTimeout : Outcome::kConnectFailed, .why = StopReason::kDeadline});
 }
 
 void AttemptController::HandleSendDeadline(AttemptId id) {
@@ -139,10 +149,11 @@
     return;
   // Where the window of an earlier attempt has ended, this one's failure says nothing of the worker.
   if (attempt->start_by < attempt->give_up_at && env_.context.now >= attempt->start_by)
-    return End(id, {.outcome = Outcome::kNotSent});
+    return End(id, {.outcome = Outcome::kNotSent, .why = StopReason::kStartWindowOver});
   // A worker that fetches and did not is busy, not unreachable.
   const bool fetches = attempt->source == WorkerEndpoint::Source::kSession;
-  End(id, {.outcome = fetches ? Outcome::kFull : Outcome::kConnectFailed});
+  End(id, {.outcome = fetches ? Outcome::kFull : Outcome::kConnectFailed,
+           .why = StopReason::kNotConnectedInTime});
 }
 
 void AttemptController::Cancel(const dispatch::Cancel& cancel) {
@@ -152,7 +163,8 @@
     return;
   const AttemptId id = request->attempts[static_cast<std::size_t>(cancel.attempt_number)];
   if (const Attempt* attempt = Find(id))
-    End(id, {.outcome = attempt->sent ? Outcome::kCancelled : Outcome::kNotSent});
+    End(id, {.outcome = attempt->sent ? Outcome::kCancelled : Outcome::kNotSent,
+             .why = StopReason::kDispatchModule});
 }
 
 AttemptId AttemptController::AddReceived(dispatch::RequestId id, std::string worker) {
@@ -194,7 +206,7 @@
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
   ++env_.context.counters.attempts[static_cast<std::size_t>(ending.outcome)];
-  EmitEnd(id, attempt, ending.stop);
+  EmitEnd(id, attempt, ending);
   Request& request = env_.requests.At(attempt.request);
   if (ending.stop && attempt.sent && attempt.source == WorkerEndpoint::Source::kSession)
     MarkAbandoned(id, *request.job);
@@ -212,15 +224,15 @@
   ReleaseIfAnswered(attempt.request);
 }
 
-void AttemptController::EmitEnd(AttemptId id, const Attempt& attempt, bool stop) {
+void AttemptController::EmitEnd(AttemptId id, const Attempt& attempt, const Ending& ending) {
   if (!attempt.sent)
     env_.context.Emit(ClearTimer{.key = SendDeadlineTimer(id)});
   env_.context.Emit(ClearTimer{.key = GiveUpTimer(id)});
 #ifdef ALDERSILL_PLANT_NEVER_STOPS  // planted where a search must find it
-  stop = false;
+  return;
 #endif
-  if (stop)
-    env_.context.Emit(StopAttempt{.attempt = id, .source = attempt.source});
+  if (ending.stop)
+    env_.context.Emit(StopAttempt{.attempt = id, .source = attempt.source, .why = ending.why});
 }
 
 void AttemptController::MarkAbandoned(AttemptId id, const Job& job) {
@@ -247,37 +259,39 @@
   }
 }
 
-void AttemptController::EndUnsent(const std::vector<AttemptId>& attempts) {
+void AttemptController::EndUnsent(const std::vector<AttemptId>& attempts, StopReason why) {
   for (const AttemptId id : attempts) {
     const Attempt* attempt = Find(id);
     if (attempt != nullptr && !attempt->sent)
-      End(id, {.outcome = Outcome::kNotSent});
+      End(id, {.outcome = Outcome::kNotSent, .why = why});
   }
 }
 
 // An end may bring about others: the attempts are collected before the first is ended.
-void AttemptController::EndUnsentWhere(const std::function<bool(const Attempt&)>& applies) {
+void AttemptController::EndUnsentWhere(const std::function<bool(const Attempt&)>& applies, StopReason why) {
   std::vector<AttemptId> ids;
   for (const auto& [id, attempt] : attempts_) {
     if (applies(attempt))
       ids.push_back(id);
   }
-  EndUnsent(ids);
+  EndUnsent(ids, why);
 }
 
 void AttemptController::EndUnsentAtUnavailableWorkers() {
-  EndUnsentWhere([this](const Attempt& attempt) { return !MaySend(attempt); });
+  EndUnsentWhere([this](const Attempt& attempt) { return !MaySend(attempt); },
+                 StopReason::kWorkerUnavailable);
 }
 
 void AttemptController::EndUnsentToDiscoveredWorkers() {
-  EndUnsentWhere([](const Attempt& attempt) { return attempt.source == WorkerEndpoint::Source::kDiscovery; });
+  EndUnsentWhere([](const Attempt& attempt) { return attempt.source == WorkerEndpoint::Source::kDiscovery; },
+                 StopReason::kListExpired);
 }
 
 void AttemptController::ReleaseIfAnswered(dispatch::RequestId id) {
   const Request* request = env_.requests.Find(id);
   if (request == nullptr || !request->answered)
     return;
-  EndUnsent(std::vector<AttemptId>(request->attempts));
+  EndUnsent(std::vector<AttemptId>(request->attempts), StopReason::kRequestAnswered);
   request = env_.requests.Find(id);  // an end above may have removed it
   if (request == nullptr || request->open_attempts > 0)
     return;
--- a/src/core/attempt_controller.h
+++ b/src/core/attempt_controller.h
@@ -83,16 +83,17 @@
     Outcome outcome = Outcome::kNotSent;
     std::string result = {};
     LoadReport report = {};
-    bool stop = true;  // the transport must be told
+    bool stop = true;                                           // the transport must be told...
+    StopAttempt::Why why = StopAttempt::Why::kRequestAnswered;  // ...and why
   };
   // Only the first end of an attempt counts.
   void End(AttemptId id, Ending ending);
-  void EmitEnd(AttemptId id, const Attempt& attempt, bool stop);
+  void EmitEnd(AttemptId id, const Attempt& attempt, const Ending& ending);
   // A session that has fetched an attempt goes on with it, whatever becomes of the request.
   void MarkAbandoned(AttemptId id, const Job& job);
   void AnswerRequest(const Attempt& attempt, Request& request, Ending& ending);
-  void EndUnsent(const std::vector<AttemptId>& attempts);
-  void EndUnsentWhere(const std::function<bool(const Attempt&)>& applies);
+  void EndUnsent(const std::vector<AttemptId>& attempts, StopAttempt::Why why);
+  void EndUnsentWhere(const std::function<bool(const Attempt&)>& applies, StopAttempt::Why why);
   // Whether an attempt that is not sent may still go to its worker. Not to one that has restarted meanwhile:
   // it is cold, and which jobs a cold worker gets is the decision module's choice.
   bool MaySend(const Attempt& attempt) const;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -22,7 +22,8 @@
   WorkerEndpoint::Source source = WorkerEndpoint::Source::kDiscovery;
   std::shared_ptr<const Job> job;
   Micros time_left = 0;
-  ClientRef client{};  // that waits for it
+  ClientRef client{};      // that waits for it
+  int attempt_number = 0;  // of its request, from 0; any other is a retry
 };
 
 struct ResumeAttempt {  // of JobReceived
@@ -38,8 +39,18 @@
 };
 
 struct StopAttempt {
+  enum class Why {
+    kRequestAnswered,     // or its client has left
+    kWorkerUnavailable,   // it drains, is gone, banned or has restarted
+    kListExpired,         // the endpoint list may not be acted on any more
+    kNotConnectedInTime,  // or not fetched
+    kStartWindowOver,     // a retry after this moment could run twice
+    kDeadline,            // of the attempt or its request
+    kDispatchModule,      // which gave it up for another one
+  };
   AttemptId attempt{};
   WorkerEndpoint::Source source = WorkerEndpoint::Source::kDiscovery;
+  Why why = Why::kRequestAnswered;
 };
 
 // ---- Final answers ----
@@ -67,6 +78,7 @@
 struct Answer {
   ClientRef client;
   FinalAnswer answer;
+  std::string request_id = {};  // for logs; empty where the request has none
 };
 
 // ---- Timers, discovery and the log ----
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -86,6 +86,7 @@
   Outcome outcome = Outcome::kServed;
   std::string result;
   LoadReport report;
+  std::string why = {};  // for logs: what happened to the connection, where the outcome does not say it
 };
 
 // An attempt that the core gave up, at a worker that cannot be told to stop, has ended.
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -21,7 +21,7 @@
   ++counters.received;
   const Verdict verdict = CheckRepeat(received.job, job_class->settings);
   if (verdict != Verdict::kAdmit)
-    return AnswerRepeat(received.client, verdict, counters);
+    return AnswerRepeat(received, verdict, counters);
   Admit(std::move(received), *job_class);
 }
 
@@ -32,17 +32,21 @@
   return job.id.empty() || recent_ids_.Insert(job.id) ? Verdict::kAdmit : Verdict::kReject;
 }
 
-void RequestLifecycle::AnswerRepeat(const ClientRef& client, Verdict verdict, ClassCounters& counters) {
+void RequestLifecycle::AnswerRepeat(const RequestReceived& received, Verdict verdict,
+                                    ClassCounters& counters) {
   ++env_.context.counters.repeats_rejected;
   if (verdict == Verdict::kReject) {
     ++counters.failed;
-    return env_.context.Emit(Answer{.client = client, .answer = Failure{.why = Failure::Why::kRepeat}});
+    return env_.context.Emit(Answer{.client = received.client,
+                                    .answer = Failure{.why = Failure::Why::kRepeat},
+                                    .request_id = received.job.id});
   }
   ++counters.rejected;
   env_.context.Emit(
-      Answer{.client = client,
+      Answer{.client = received.client,
              .answer = Rejection{.why = Rejection::Why::kAbandonedAttemptRunning,
-                                 .retry_after = env_.context.settings.dispatcher.max_retry_after}});
+                                 .retry_after = env_.context.settings.dispatcher.max_retry_after},
+             .request_id = received.job.id});
 }
 
 void RequestLifecycle::Admit(RequestReceived&& received, const JobClasses::JobClass& job_class) {
--- a/src/core/request_lifecycle.h
+++ b/src/core/request_lifecycle.h
@@ -29,7 +29,7 @@
   using Verdict = IdempotencyTracker::Verdict;
 
   Verdict CheckRepeat(const Job& job, const dispatch::ClassSettings& job_class);
-  void AnswerRepeat(const ClientRef& client, Verdict verdict, ClassCounters& counters);
+  void AnswerRepeat(const RequestReceived& received, Verdict verdict, ClassCounters& counters);
   void Admit(RequestReceived&& received, const JobClasses::JobClass& job_class);
 
   AttemptController::Environment env_;
--- a/src/core/request_table.cpp
+++ b/src/core/request_table.cpp
@@ -38,7 +38,8 @@
     ++count.rejected;
   else
     ++count.failed;
-  context_.Emit(aldersill::Answer{.client = request->client, .answer = std::move(answer)});
+  context_.Emit(aldersill::Answer{
+      .client = request->client, .answer = std::move(answer), .request_id = request->job->id});
 }
 
 }  // namespace aldersill
--- a/src/daemon/component.h
+++ b/src/daemon/component.h
@@ -48,6 +48,8 @@
   // Called after ApplyReload of all components, once the core has the new settings. `reloaded_at`: when the
   // reload was requested, by the steady clock, before the configuration was read.
   virtual void OnReloadApplied(const Config& /*config*/, Micros /*reloaded_at*/) {}
+  // Called after CancelReload of all components: the configuration before stays in force.
+  virtual void OnReloadRejected(Micros /*reloaded_at*/) {}
 
   // Begins the graceful shutdown: requests that were accepted are finished.
   virtual void BeginDrain() {}
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -17,6 +17,9 @@
 // The load balancer in front of us goes on sending new connections for a while after SIGTERM.
 constexpr Micros kMinDrain = 700 * kMillisecond;
 constexpr Micros kDrainCheckInterval = 20 * kMillisecond;
+// A reload may name the new address of discovery, whose previous one ends soon.
+constexpr Micros kReloadRetryInterval = 200 * kMillisecond;
+constexpr Micros kReloadRetryPeriod = 10 * kSecond;
 
 Micros UnixNow() {
   using std::chrono::duration_cast, std::chrono::microseconds, std::chrono::system_clock;
@@ -70,6 +73,7 @@
   StartComponents();
   WatchSignals();
   drain_timer_ = std::make_unique<Timer>(base_.get(), [this] { StopIfDrained(); });
+  reload_timer_ = std::make_unique<Timer>(base_.get(), [this] { TryReload(); });
   Post(EndpointListUpdate{.form = EndpointListUpdate::Form::kCached,
                           .source = WorkerEndpoint::Source::kDiscovery,
                           .workers = config_.known});
@@ -135,7 +139,11 @@
   // this attempt arrived. The close is still unread then, and the attempt would run for nobody.
   if (ClientHasLeft(start.client)) {
     Post(ClientLeft{start.client});
-    Post(AttemptEnded{.attempt = start.attempt, .outcome = Outcome::kNotSent, .result = "", .report = {}});
+    Post(AttemptEnded{.attempt = start.attempt,
+                      .outcome = Outcome::kNotSent,
+                      .result = "",
+                      .report = {},
+                      .why = "client has left"});
     return;
   }
   if (AttemptTransport* transport = registry_.effects.TransportFor(start.source))
@@ -192,9 +200,15 @@
 void Daemon::Perform(const LogLine& line) { Log(LogLevel::kInfo, "core_message", {{"text", line.text}}); }
 
 void Daemon::Reload() {
-  const Micros requested_at = SteadyNow();
+  reload_requested_at_ = SteadyNow();
+  reload_rejected_ = false;
+  TryReload();
+}
+
+void Daemon::TryReload() {
+  reload_timer_->Clear();
   if (std::optional<Config> next = PrepareReload())
-    ApplyReload(std::move(*next), requested_at);
+    ApplyReload(std::move(*next));
 }
 
 std::optional<Config> Daemon::PrepareReload() {
@@ -203,6 +217,10 @@
     for (const auto& component : components_)
       component->PrepareReload(next);
     return next;
+  } catch (const UnreadableFile& error) {
+    RejectReload(error.code(), error.path(), error.what());
+    if (SteadyNow() - reload_requested_at_ < kReloadRetryPeriod)
+      reload_timer_->Set(kReloadRetryInterval);
   } catch (const ConfigError& error) {
     RejectReload(error.code(), error.path(), error.what());
   } catch (const std::exception& error) {
@@ -214,11 +232,15 @@
 void Daemon::RejectReload(const std::string& code, const std::string& field, const std::string& reason) {
   for (const auto& component : components_)
     component->CancelReload();
+  if (std::exchange(reload_rejected_, true))
+    return;  // a further try of the same reload
+  for (const auto& component : components_)
+    component->OnReloadRejected(reload_requested_at_);
   Log(LogLevel::kError, "configuration_rejected", {{"code", code}, {"field", field}, {"why", reason}});
   Post(SettingsRefused{});
 }
 
-void Daemon::ApplyReload(Config next, Micros requested_at) {
+void Daemon::ApplyReload(Config next) {
   CoreSettings core_settings = CoreSettingsFrom(next);
   core_settings.dispatcher_changed = next.module_text != config_.module_text;
   config_ = std::move(next);
@@ -228,7 +250,7 @@
     component->ApplyReload(config_);
   Post(SettingsChanged{std::move(core_settings)});
   for (const auto& component : components_)
-    component->OnReloadApplied(config_, requested_at);
+    component->OnReloadApplied(config_, reload_requested_at_);
   Log(LogLevel::kInfo, "configuration_applied");
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -50,13 +50,15 @@
   void Perform(const LogLine& line);
   bool ClientHasLeft(const ClientRef& client) const;
 
-  // Reads the configuration again and applies all of it or, if any part is rejected, none.
+  // Reads the configuration again and applies all of it or, if any part is rejected, none. A file that cannot
+  // be read is tried again for a while.
   void Reload();
+  void TryReload();
   // Phase 1: reads and prepares. Nothing if the configuration was rejected; no component has changed then.
   std::optional<Config> PrepareReload();
   void RejectReload(const std::string& code, const std::string& field, const std::string& reason);
-  // Phase 2. Cannot fail. `requested_at`: by the steady clock.
-  void ApplyReload(Config next, Micros requested_at);
+  // Phase 2. Cannot fail.
+  void ApplyReload(Config next);
 
   void BeginDrain();
   // Ends Run once the drain is complete; otherwise checks again shortly.
@@ -76,8 +78,11 @@
   std::multimap<TimerKey, std::unique_ptr<Timer>> timers_;
   std::vector<EventPtr<event>> signals_;
   std::unique_ptr<Timer> drain_timer_;
-  Micros clock_offset_ = 0;    // from the steady clock to Unix time, fixed at the start
-  Micros drain_began_at_ = 0;  // 0 before the drain
+  std::unique_ptr<Timer> reload_timer_;
+  Micros reload_requested_at_ = 0;  // by the steady clock
+  bool reload_rejected_ = false;    // the one that was requested last
+  Micros clock_offset_ = 0;         // from the steady clock to Unix time, fixed at the start
+  Micros drain_began_at_ = 0;       // 0 before the drain
 
   ComponentRegistry registry_;
   std::vector<std::unique_ptr<Component>> components_;
--- a/src/daemon/discovery_watcher.cpp
+++ b/src/daemon/discovery_watcher.cpp
@@ -21,12 +21,19 @@
   return latest_start;
 }
 
-WatchScheduler MakeScheduler(const Config& config) {
+WatchScheduler::Settings SchedulerSettingsFrom(const Config& config) {
   using Kind = WatchScheduler::Kind;
-  return {{.kind = config.module.subscribe ? Kind::kPolled : Kind::kPushed,
-           .max_poll_interval = config.module.must_ask_in,
-           .drain_grace = config.module.drain_grace},
-          PollBackoff(config.module.nodes, config.module.must_ask_in / 2, config.seed)};
+  return {.kind = config.module.subscribe ? Kind::kPolled : Kind::kPushed,
+          .max_poll_interval = config.module.must_ask_in,
+          .drain_grace = config.module.drain_grace};
+}
+
+PollBackoff BackoffFrom(const Config& config) {
+  return {config.module.nodes, config.module.must_ask_in / 2, config.seed};
+}
+
+WatchScheduler MakeScheduler(const Config& config) {
+  return {SchedulerSettingsFrom(config), BackoffFrom(config)};
 }
 
 // `now` is the daemon's clock, in which the list gives start times; the watch counts in the steady clock.
@@ -58,8 +65,11 @@
 }
 
 void DiscoveryWatcher::OnReloadApplied(const Config& config, Micros reloaded_at) {
-  if (config.discovery == endpoint_)
+  if (config.discovery == endpoint_) {
+    if (discovery_ != nullptr)
+      discovery_->ApplySettings(reloaded_at, SchedulerSettingsFrom(config), BackoffFrom(config));
     return;
+  }
   endpoint_ = config.discovery;
   Log(LogLevel::kInfo, "discovery_address_changed",
       {{"address", endpoint_ ? ToText(*endpoint_) : std::string("none")}});
@@ -73,6 +83,11 @@
   discovery_->StartWatching();
 }
 
+void DiscoveryWatcher::OnReloadRejected(Micros reloaded_at) {
+  if (discovery_ != nullptr)
+    discovery_->ReloadRejected(reloaded_at);
+}
+
 // List versions belong to one discovery, so the new one is asked for its complete list. Until that arrives
 // the known workers stay in use.
 WatchScheduler DiscoveryWatcher::MakeSchedulerAfterMove(const Config& config, Micros reloaded_at) const {
--- a/src/daemon/discovery_watcher.h
+++ b/src/daemon/discovery_watcher.h
@@ -23,6 +23,7 @@
   // Moves the watch where the reloaded configuration has another address. `reloaded_at`: when the reload was
   // requested, by the steady clock.
   void OnReloadApplied(const Config& config, Micros reloaded_at);
+  void OnReloadRejected(Micros reloaded_at);
 
  private:
   WatchScheduler MakeSchedulerAfterMove(const Config& config, Micros reloaded_at) const;
--- a/src/daemon/platform_component.cpp
+++ b/src/daemon/platform_component.cpp
@@ -88,6 +88,7 @@
   void OnReloadApplied(const Config& config, Micros reloaded_at) override {
     discovery_.OnReloadApplied(config, reloaded_at);
   }
+  void OnReloadRejected(Micros reloaded_at) override { discovery_.OnReloadRejected(reloaded_at); }
 
   void BeginDrain() override {
     frontend_->StartDraining();
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -42,6 +42,28 @@
   return "";
 }
 
+const char* NameOf(CloseReason reason) {
+  switch (reason) {
+    case CloseReason::kClosedByPeer:
+      return "closed_by_peer";
+    case CloseReason::kConnectionError:
+      return "connection_error";
+    case CloseReason::kWriteTimeout:
+      return "write_timeout";
+    case CloseReason::kLingerOver:
+      return "linger_over";
+    case CloseReason::kDiscardFailed:
+      return "reset_or_too_many_bytes";
+    case CloseReason::kIdleTimeout:
+      return "idle_timeout";
+    case CloseReason::kDrain:
+      return "drain";
+    case CloseReason::kEvicted:
+      return "descriptor_needed";
+  }
+  return "unknown";
+}
+
 ClientConnection::ClientConnection(event_base* base, evutil_socket_t fd, Owner* owner,
                                    const DrainSchedule* drain, RequestMemory* memory)
     : owner_(owner),
@@ -101,7 +123,7 @@
   return state_ == State::kReading && reader_.started() && !HasUnreadBytes();
 }
 
-void ClientConnection::CloseBetweenRequests() { Linger(kIdleLingerTimeout); }
+void ClientConnection::CloseBetweenRequests(CloseReason reason) { Linger(kIdleLingerTimeout, reason); }
 
 void ClientConnection::RejectPartialRequest() { Reject(408, "the request has not come whole in time"); }
 
@@ -163,12 +185,17 @@
     close_after_response_ = true;
     return;
   }
-  owner_->RemoveConnection(this);
+  CloseReason reason = CloseReason::kClosedByPeer;
+  if ((what & BEV_EVENT_ERROR) != 0)
+    reason = CloseReason::kConnectionError;
+  else if ((what & BEV_EVENT_TIMEOUT) != 0)
+    reason = CloseReason::kWriteTimeout;
+  owner_->RemoveConnection(this, reason);
 }
 
 void ClientConnection::HandleTimeout() {
   if (state_ == State::kLingering)
-    return owner_->RemoveConnection(this);
+    return owner_->RemoveConnection(this, linger_reason_);
   if (state_ != State::kReading)
     return;
   // Bytes that arrived in the same moment are read first.
@@ -177,7 +204,7 @@
   if (reader_.started())
     RejectPartialRequest();
   else
-    CloseBetweenRequests();
+    CloseBetweenRequests(CloseReason::kIdleTimeout);
 }
 
 // ---- Reading requests ----
@@ -265,15 +292,16 @@
 void ClientConnection::HandleResponseWritten() {
   since_ = SteadyNow();
   if (close_after_response_)
-    return Linger(kLingerTimeout);
+    return Linger(kLingerTimeout, CloseReason::kLingerOver);
   state_ = State::kReading;
   reader_.Reset();
   timer_.Set(kIdleTimeout);
   Read();  // the bytes that were buffered meanwhile
 }
 
-void ClientConnection::Linger(Micros timeout) {
+void ClientConnection::Linger(Micros timeout, CloseReason reason) {
   state_ = State::kLingering;
+  linger_reason_ = reason;
   bufferevent_disable(stream_.get(), EV_WRITE);
   shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
   timer_.Set(timeout);
@@ -293,7 +321,9 @@
   // A peer that has closed its sending side only still reads the response that is being written.
   if (end == InputDiscarder::End::kClosedByPeer && state_ == State::kWriting)
     return discarder_.Stop();
-  owner_->RemoveConnection(this);
+  if (end == InputDiscarder::End::kBroken)
+    return owner_->RemoveConnection(this, CloseReason::kDiscardFailed);
+  owner_->RemoveConnection(this, state_ == State::kLingering ? linger_reason_ : CloseReason::kClosedByPeer);
 }
 
 }  // namespace aldersill
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -26,6 +26,19 @@
   bool head_only = false;   // the response goes without its body
 };
 
+enum class CloseReason {
+  kClosedByPeer,
+  kConnectionError,  // the peer reset it, or the kernel gave it up
+  kWriteTimeout,     // the peer does not read its response
+  kLingerOver,       // the response is written, or the pause has ended, and the peer does not close
+  kDiscardFailed,    // the peer reset it, or sends without end
+  kIdleTimeout,
+  kDrain,
+  kEvicted,  // its descriptor is needed
+};
+// For logs.
+const char* NameOf(CloseReason reason);
+
 // Which connection is closed first when a new one needs its descriptor: the lowest priority value.
 struct EvictionPriority {
   enum class Class { kLingering, kSilent, kIdle, kStalled, kNotEvictable };
@@ -45,7 +58,7 @@
     // The connection answers this request itself, with an error. `request_id`: empty if it had none.
     virtual void HandleRejection(int status, const std::string& reason, const std::string& request_id) = 0;
     // The connection has ended: destroys it.
-    virtual void RemoveConnection(ClientConnection* connection) = 0;
+    virtual void RemoveConnection(ClientConnection* connection, CloseReason reason) = 0;
 
    protected:
     ~Owner() = default;
@@ -83,7 +96,7 @@
   bool IsLingering() const { return state_ == State::kLingering; }
   // Ends the connection between requests. The sending side is closed first: a request that crosses the close
   // is read and dropped, never forwarded, and resets nothing that the client has yet to read.
-  void CloseBetweenRequests();
+  void CloseBetweenRequests(CloseReason reason);
   // Responds 408 to a partial request.
   void RejectPartialRequest();
 
@@ -109,7 +122,7 @@
   void HandleCompleteRequest();
   void Reject(int status, const std::string& reason);
   void HandleResponseWritten();
-  void Linger(Micros timeout);
+  void Linger(Micros timeout, CloseReason reason);
   void DiscardInput();
 
   Owner* owner_;
@@ -127,6 +140,7 @@
   bool keep_alive_ = false;
   bool close_after_response_ = false;  // this one, or the next
   bool head_only_ = false;
+  CloseReason linger_reason_ = CloseReason::kLingerOver;
 };
 
 // The first Req-Id of a request that may be invalid, for the log; empty if it has none.
--- a/src/http/discovery_client.cpp
+++ b/src/http/discovery_client.cpp
@@ -58,7 +58,7 @@
 DiscoveryClient::~DiscoveryClient() {
   // Otherwise freeing the connection would report the end of a poll that nobody waits for.
   for (PollConnection& poll : polls_)
-    Cancel(&poll);
+    Cancel(&poll, "discovery is not watched here any more");
 }
 
 void DiscoveryClient::Supersede(DiscoveryClient* successor) {
@@ -75,6 +75,18 @@
   Schedule();
 }
 
+void DiscoveryClient::ApplySettings(Micros reloaded_at, WatchScheduler::Settings settings,
+                                    const PollBackoff& backoff) {
+  scheduler_.ApplySettings(settings, backoff);
+  scheduler_.Reloaded(reloaded_at, /*rejected=*/false);
+  Schedule();
+}
+
+void DiscoveryClient::ReloadRejected(Micros reloaded_at) {
+  scheduler_.Reloaded(reloaded_at, /*rejected=*/true);
+  Schedule();
+}
+
 void DiscoveryClient::Schedule() {
   const Micros now = SteadyNow();
   // A superseded client renews polls that are answered at once and retries none.
@@ -88,8 +100,38 @@
   } else if (!probe_.in_progress()) {
     probe_timer_.Set(std::max<Micros>(0, scheduler_.next_probe() - now));
   }
-  if (!superseded())
-    sink_->Post(EndpointListLease{scheduler_.valid_until() - now});
+  if (superseded())
+    return;
+  LogBoundChange();
+  sink_->Post(EndpointListLease{scheduler_.valid_until() - now});
+}
+
+// ---- Log ----
+
+// An agent on this machine is polled several times a second.
+LogLevel DiscoveryClient::PollLogLevel() const {
+  return scheduler_.pushed() ? LogLevel::kDebug : LogLevel::kInfo;
+}
+
+void DiscoveryClient::LogPollSent(const PollConnection& poll) const {
+  Log(PollLogLevel(), "discovery_poll_sent",
+      {{"address", ToText(endpoint_)},
+       {"wait_ms", poll.wait / kMillisecond},
+       {"delay_ms", (poll.sent_at - last_poll_end_) / kMillisecond},
+       {"version", version_ ? std::to_string(*version_) : "none"},
+       {"outstanding", OutstandingPolls()}});
+}
+
+// Which rule sets the end of the list's validity changes with each poll of a working watch; that is no news.
+void DiscoveryClient::LogBoundChange() {
+  const ListValidity validity = scheduler_.validity();
+  const bool of_working_watch =
+      validity.bound == ValidityBound::kPollInterval && scheduler_.next_poll_wait() > 0;
+  const ValidityBound bound = of_working_watch ? ValidityBound::kOpenWatch : validity.bound;
+  if (std::exchange(logged_bound_, bound) == bound)
+    return;
+  Log(PollLogLevel(), "endpoint_list_bound",
+      {{"bound", std::string(NameOf(bound))}, {"valid_ms", (validity.until - SteadyNow()) / kMillisecond}});
 }
 
 // ---- Polls ----
@@ -99,9 +141,14 @@
                        [](const PollConnection& poll) { return poll.request != nullptr; });
 }
 
-void DiscoveryClient::Cancel(PollConnection* poll) {
-  if (poll->request != nullptr)
-    evhttp_cancel_request(std::exchange(poll->request, nullptr));
+void DiscoveryClient::Cancel(PollConnection* poll, const char* why) {
+  if (poll->request == nullptr)
+    return;
+  evhttp_cancel_request(std::exchange(poll->request, nullptr));
+  Log(PollLogLevel(), "discovery_poll_cancelled",
+      {{"why", why},
+       {"wait_ms", poll->wait / kMillisecond},
+       {"took_ms", (SteadyNow() - poll->sent_at) / kMillisecond}});
 }
 
 // The connection that answered last if it is free, else another free one, else the one with the oldest poll.
@@ -150,9 +197,10 @@
   const Micros now = SteadyNow();
   PollConnection& poll = ChooseConnection();
   LogOverduePoll(now);
-  Cancel(&poll);
+  Cancel(&poll, "its connection is needed");
   poll.wait = scheduler_.next_poll_wait();
   poll.sent_at = now;
+  LogPollSent(poll);
   scheduler_.PollSent(now);
   Schedule();
   if (!OpenConnection(&poll))
@@ -202,8 +250,10 @@
 }
 
 void DiscoveryClient::ApplyUpdate(PollConnection* poll, EndpointListMessage message) {
-  Log(LogLevel::kDebug, "discovery_answered",
-      {{"wait_ms", poll->wait / kMillisecond},
+  last_poll_end_ = SteadyNow();
+  Log(PollLogLevel(), "discovery_answered",
+      {{"address", ToText(endpoint_)},
+       {"wait_ms", poll->wait / kMillisecond},
        {"took_ms", (SteadyNow() - poll->sent_at) / kMillisecond},
        {"full", message.full},
        {"entries", message.workers.size()},
@@ -212,7 +262,7 @@
   version_ = message.version;
   watch_open_ = true;
   for (PollConnection& other : polls_)
-    Cancel(&other);
+    Cancel(&other, "another poll was answered");
   last_answered_ = poll;
   SetNoDelay(poll->connection.get());
   const EndpointListUpdate::Form form = FormOf(message);
@@ -227,14 +277,16 @@
 }
 
 void DiscoveryClient::HandleFailure(PollConnection* poll, std::string_view reason, bool by_discovery) {
-  const Micros now = SteadyNow();
-  Log(superseded() ? LogLevel::kDebug : LogLevel::kWarning,
+  const Micros now = last_poll_end_ = SteadyNow();
+  const bool others_outstanding = OutstandingPolls() > 0;
+  scheduler_.PollFailed(now, poll->sent_at, by_discovery, others_outstanding);
+  // A watch at the previous address is expected to break.
+  Log(superseded() ? LogLevel::kInfo : LogLevel::kWarning,
       superseded() ? "previous_discovery_failed" : "discovery_failed",
       {{"why", std::string(reason)},
        {"wait_ms", poll->wait / kMillisecond},
-       {"took_ms", (now - poll->sent_at) / kMillisecond}});
-  const bool others_outstanding = OutstandingPolls() > 0;
-  scheduler_.PollFailed(SteadyNow(), poll->sent_at, by_discovery, others_outstanding);
+       {"took_ms", (now - poll->sent_at) / kMillisecond},
+       {"valid_ms", (scheduler_.valid_until() - now) / kMillisecond}});
   Schedule();
   if (others_outstanding)
     return;
--- a/src/http/discovery_client.h
+++ b/src/http/discovery_client.h
@@ -14,8 +14,10 @@
 #include "endpoint_list/codec.h"
 #include "http/connect_probe.h"
 #include "http/watch_scheduler.h"
+#include "log/log.h"
 #include "net/endpoint.h"
 #include "net/event_ptr.h"
+#include "net/steady_clock.h"
 #include "net/timer.h"
 
 namespace aldersill {
@@ -38,6 +40,9 @@
   // long the list is valid.
   void StartWatching();
   const WatchScheduler& scheduler() const { return scheduler_; }
+  // A reload without a move, requested at `reloaded_at`.
+  void ApplySettings(Micros reloaded_at, WatchScheduler::Settings settings, const PollBackoff& backoff);
+  void ReloadRejected(Micros reloaded_at);
 
  private:
   enum class State {
@@ -62,9 +67,12 @@
   void SendPoll();
   PollConnection& ChooseConnection();
   void LogOverduePoll(Micros now) const;
+  void LogPollSent(const PollConnection& poll) const;
+  void LogBoundChange();
+  LogLevel PollLogLevel() const;
   bool OpenConnection(PollConnection* poll);
   std::string PollPath(Micros wait) const;
-  void Cancel(PollConnection* poll);
+  void Cancel(PollConnection* poll, const char* why);
   std::ptrdiff_t OutstandingPolls() const;
 
   static void OnPollDone(evhttp_request* request, void* poll);
@@ -86,7 +94,9 @@
   ConnectProbe probe_;
   std::optional<std::uint64_t> version_;
   State state_ = State::kNotStarted;
-  bool watch_open_ = false;     // the last poll that ended was answered
+  bool watch_open_ = false;             // the last poll that ended was answered
+  Micros last_poll_end_ = SteadyNow();  // or the start of this client
+  std::optional<ValidityBound> logged_bound_;
   bool probe_refused_ = false;  // the last one
   std::unique_ptr<DiscoveryClient> previous_;
   DiscoveryClient* successor_ = nullptr;  // set while superseded
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -69,7 +69,7 @@
   // Closed at once, as its descriptor is needed: a request that crosses the close meets a reset and is sent
   // again on a new connection. An idle connection has nothing unread, and its last response had time to
   // arrive.
-  RemoveConnection(evictable);
+  RemoveConnection(evictable, CloseReason::kEvicted);
   return true;
 }
 
@@ -78,15 +78,23 @@
       {{"connections", connections_.size()}, {"with_request", connections_.requests_in_flight()}});
 }
 
-void HttpFrontend::RemoveConnection(ClientConnection* connection) {
+void HttpFrontend::RemoveConnection(ClientConnection* connection, CloseReason reason) {
   const std::unique_ptr<ClientConnection> removed = connections_.Remove(connection);
   if (removed == nullptr)
     return;
   const std::uint64_t client = removed->client();
+  LogClose(client, reason);
   if (connections_.FinishRequest(client))
     sink_->Post(ClientLeft{{ClientRef::Frontend::kHttp, client}});
 }
 
+// Clients come and go: only what this side ends, or what ends a request, is more than a trace.
+void HttpFrontend::LogClose(std::uint64_t client, CloseReason reason) {
+  const bool usual = reason == CloseReason::kClosedByPeer || reason == CloseReason::kLingerOver;
+  Log(usual && client == 0 ? LogLevel::kDebug : LogLevel::kInfo, "client_connection_closed",
+      {{"client", client}, {"why", NameOf(reason)}}, LogBudget::kRequests);
+}
+
 // ---- Requests and answers ----
 
 void HttpFrontend::HandleRequest(ClientConnection* connection, HttpRequest request) {
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -76,7 +76,7 @@
   // ClientConnection::Owner
   void HandleRequest(ClientConnection* connection, HttpRequest request) override;
   void HandleRejection(int status, const std::string& reason, const std::string& request_id) override;
-  void RemoveConnection(ClientConnection* connection) override;
+  void RemoveConnection(ClientConnection* connection, CloseReason reason) override;
 
   // ConnectionAcceptor::Owner
   void HandleAccepted(evutil_socket_t fd) override;
@@ -88,6 +88,7 @@
   void RespondToReadinessCheck(ClientConnection* connection);
   // Shortens the job's time to what is left in a drain; false if that is too little to start it.
   bool LimitTimeToDrain(Job* job) const;
+  static void LogClose(std::uint64_t client, CloseReason reason);
   void LogRejections(RejectionLogThrottle::Selection selection);
   void CloseIdleConnections();
 
--- a/src/http/frontend_drain.cpp
+++ b/src/http/frontend_drain.cpp
@@ -27,7 +27,7 @@
   const bool answers_due = SteadyNow() >= drain_.answers_due_at();
   connections_.ForEach([&](ClientConnection* connection) {
     if (connection->IsIdle())
-      connection->CloseBetweenRequests();
+      connection->CloseBetweenRequests(CloseReason::kDrain);
     if (answers_due && connection->HasPartialRequest())
       connection->RejectPartialRequest();
   });
--- a/src/http/poll_backoff.h
+++ b/src/http/poll_backoff.h
@@ -47,8 +47,8 @@
 
   Micros Draw(Micros from, Micros to) { return std::uniform_int_distribution<Micros>(from, to)(random_); }
 
-  const Micros initial_bound_;
-  const Micros max_retry_bound_;
+  Micros initial_bound_;
+  Micros max_retry_bound_;
   Micros retry_bound_ = 0;
   std::mt19937_64 random_;
 };
--- a/src/http/watch_scheduler.cpp
+++ b/src/http/watch_scheduler.cpp
@@ -27,7 +27,8 @@
 void WatchScheduler::StartAtNewAddress(Micros now, Micros reloaded_at, const WatchScheduler& previous) {
   started_at_ = now;
   complete_at_ = previous.complete_at_;
-  reload_bound_ = std::min(previous.reload_bound_, reloaded_at + kReloadNotificationBound - kMaxSignalDelay);
+  reload_bound_ = previous.reload_bound_;
+  LimitByReload(reloaded_at);
   next_poll_ = now + (pushed() ? 0 : backoff_.InitialDelay(kMaxPollDelayAfterMove));
   const bool first_poll_abandoned =
       previous.poll_outstanding_ && previous.last_poll_wait_ == 0 && !previous.pushed();
@@ -40,6 +41,20 @@
   inherited_validity_ = {previous.valid_until(), ValidityBound::kPreviousAddress};
 }
 
+void WatchScheduler::LimitByReload(Micros reloaded_at) {
+  reload_bound_ = std::min(reload_bound_, reloaded_at + kReloadNotificationBound - kMaxSignalDelay);
+}
+
+void WatchScheduler::Reloaded(Micros reloaded_at, bool rejected) {
+  LimitByReload(reloaded_at);
+  refusals_trusted_ = !rejected;
+}
+
+void WatchScheduler::ApplySettings(Settings settings, const PollBackoff& backoff) {
+  settings_ = settings;
+  backoff_ = backoff;
+}
+
 void WatchScheduler::PreviousSourceAnswered(const WatchScheduler& previous) {
   complete_at_ = std::max(complete_at_, std::min(started_at_, previous.complete_at_));
   if (previous.complete_at_ >= started_at_)
@@ -77,7 +92,7 @@
   poll_outstanding_ = overdue_since_answer_ = failed_since_answer_ = false;
   any_poll_answered_ = next_poll_continues_watch_ = true;
   next_poll_ = now;
-  next_probe_ = inherited_validity_.until = reload_bound_ = kNever;
+  next_probe_ = inherited_validity_.until = reload_bound_ = agent_failed_at_ = kNever;
   backoff_.Reset();
 }
 
@@ -87,8 +102,10 @@
   if (others_outstanding && sent_at != last_poll_sent_at_)
     return;
   next_poll_ = now + RetryDelay();
-  if (pushed())
+  if (pushed()) {
+    agent_failed_at_ = std::min(agent_failed_at_, now);
     return;
+  }
   if (by_discovery) {
     unreachable_since_ = kLongAgo;
     return;
@@ -110,7 +127,7 @@
 // ---- Probes ----
 
 void WatchScheduler::ProbeRefused(Micros now) {
-  if (now - unreachable_since_ <= settings_.drain_grace)
+  if (refusals_trusted_ && now - unreachable_since_ <= settings_.drain_grace)
     complete_at_ = unreachable_since_ = now;
   last_poll_sent_at_ = now;
   last_poll_wait_ = 0;
@@ -142,11 +159,15 @@
   return validity;
 }
 
+// What an agent has counts at once, and an agent is silent only while it learns nothing. One that fails
+// otherwise may have learned of a change: the list ends then unless the next poll is answered.
 ListValidity WatchScheduler::PushedListValidity() const {
-  const Micros next_poll_bound = next_poll_ + settings_.drain_grace;
-  if (!any_poll_answered_ || next_poll_bound < initial_list_valid_until_)
+  if (!any_poll_answered_)
     return {initial_list_valid_until_, ValidityBound::kInitialList};
-  return {next_poll_bound, ValidityBound::kAgentPoll};
+  const ListValidity validity = {next_poll_ + settings_.drain_grace, ValidityBound::kAgentPoll};
+  if (agent_failed_at_ == kNever)
+    return validity;
+  return Earlier(validity, {agent_failed_at_ + PushedWait(), ValidityBound::kAgentFailure});
 }
 
 ListValidity WatchScheduler::PolledListValidity() const {
--- a/src/http/watch_scheduler.h
+++ b/src/http/watch_scheduler.h
@@ -60,6 +60,12 @@
   // after the first reload that no answer has followed. Until the watch at the previous address answers, it
   // may have fallen silent before the move. Its first poll, if it is still outstanding, counts as abandoned.
   void StartAtNewAddress(Micros now, Micros reloaded_at, const WatchScheduler& previous);
+  // A reload that moves nothing, or that was rejected (`rejected`): what discovery has counts by then as
+  // well. Until a configuration is applied, a refused connect does not show that discovery is down: the
+  // rejected one may name another address.
+  void Reloaded(Micros reloaded_at, bool rejected);
+  // New settings for the same address.
+  void ApplySettings(Settings settings, const PollBackoff& backoff);
   // The watch at the previous address has answered, so it was working at the move.
   void PreviousSourceAnswered(const WatchScheduler& previous);
   // The watch at the previous address has ended without an answer.
@@ -91,6 +97,8 @@
   // The connect was not refused, or its result is unknown: discovery may notify changes from now on.
   void ProbeNotRefused(Micros now);
 
+  bool pushed() const { return settings_.kind == Kind::kPushed; }
+
   // From then on a change may count as notified that has not arrived.
   ListValidity validity() const;
   Micros valid_until() const { return validity().until; }
@@ -98,23 +106,25 @@
  private:
   static constexpr Micros kLongAgo = std::numeric_limits<Micros>::min() / 2;
 
-  bool pushed() const { return settings_.kind == Kind::kPushed; }
   Micros PushedWait() const;
   Micros PushedResponseTimeout() const;
   Micros TenthsOfDrainGrace(int tenths) const;
+  void LimitByReload(Micros reloaded_at);
   Micros ResponseTimeout() const;
   void RecordOverduePoll();
   Micros RetryDelay();
   ListValidity PushedListValidity() const;
   ListValidity PolledListValidity() const;
 
-  const Settings settings_;
+  Settings settings_;
   PollBackoff backoff_;
   Micros started_at_ = 0;
   Micros initial_list_valid_until_ = 0;
   // Of a list from an earlier process or a previous address. The next answer ends both bounds.
   ListValidity inherited_validity_ = {kNever, ValidityBound::kCachedList};
   Micros reload_bound_ = kNever;
+  Micros agent_failed_at_ = kNever;  // a poll of an agent, first since its last answer
+  bool refusals_trusted_ = true;
   Micros complete_at_ = 0;               // the list holds all changes that discovery had by then
   Micros unreachable_since_ = kLongAgo;  // as far as refused connects show
   Micros next_poll_ = 0;
--- a/src/http/worker_connection.cpp
+++ b/src/http/worker_connection.cpp
@@ -24,7 +24,7 @@
       address_(std::move(address)),
       stream_(std::move(stream)),
       reader_(address_),
-      probe_timer_(base, [this] { FinishWithoutResponse(Outcome::kTimeout); }) {
+      probe_timer_(base, [this] { FinishWithoutResponse(Outcome::kTimeout, "no answer in time"); }) {
   bufferevent_setcb(stream_.get(), &WorkerConnection::OnRead, nullptr, &WorkerConnection::OnEvent, this);
   // The buffer's callback runs at once; the stream's own are deferred. Other events of the same turn of the
   // loop, such as an update that the worker drains, must not find a request that is sent marked as unsent.
@@ -126,7 +126,7 @@
   if (reader_.framing_complete() || reader_.has_result())
     return FinishWithResponse();
   if (reader_.malformed())
-    return FinishWithoutResponse(Outcome::kError);
+    return FinishWithoutResponse(Outcome::kError, "malformed response");
   PostProgress();
 }
 
@@ -149,6 +149,8 @@
 }
 
 void WorkerConnection::HandleClose(short what) {
+  std::string why = (what & BEV_EVENT_EOF) != 0 ? "closed by the worker"
+                                                : evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
   if ((what & BEV_EVENT_EOF) != 0) {
     reader_.ReadEnd();
     if (reader_.framing_complete() && (attempt_ || probed_worker_))
@@ -157,7 +159,7 @@
   if (reader_.ReadUnterminatedResult())
     return FinishWithResponse();
   // A request whose last byte was not written cannot have run.
-  FinishWithoutResponse(request_sent_ ? Outcome::kLost : Outcome::kConnectFailed);
+  FinishWithoutResponse(request_sent_ ? Outcome::kLost : Outcome::kConnectFailed, std::move(why));
 }
 
 void WorkerConnection::FinishWithResponse() {
@@ -166,10 +168,11 @@
   Finish(std::move(ended), SteadyNow() - request_started_at_, report);
 }
 
-void WorkerConnection::FinishWithoutResponse(Outcome outcome) {
+void WorkerConnection::FinishWithoutResponse(Outcome outcome, std::string why) {
   AttemptEnded ended;
   ended.outcome = outcome;
   ended.report = reader_.load();
+  ended.why = std::move(why);
   Finish(std::move(ended), 0, {});
 }
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
@@ -53,9 +54,11 @@
   }
   // Only one thread writes, so the sink needs no lock.
   spdlog::logger logger{"aldersill", std::make_shared<spdlog::sinks::stderr_sink_st>()};
+  RateLimiter& RateLimiterOf(LogBudget budget) { return rate_limiters[static_cast<std::size_t>(budget)]; }
+
   LogSettings settings;
-  RateLimiter rate_limiter;
-  std::uint64_t dropped = 0;  // lines, since the last one that was written
+  std::array<RateLimiter, 2> rate_limiters;  // by LogBudget
+  std::uint64_t dropped = 0;                 // lines, since the last one that was written
 };
 
 LogState& GlobalState() {
@@ -132,16 +135,17 @@
 void SetUpLog(const LogSettings& settings) {
   LogState& state = GlobalState();
   state.settings = settings;
-  state.rate_limiter.Configure(settings);
+  for (RateLimiter& limiter : state.rate_limiters)
+    limiter.Configure(settings);
 }
 
 bool LogsAt(LogLevel level) { return level >= GlobalState().settings.level; }
 
-void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields, LogBudget budget) {
   LogState& state = GlobalState();
   if (!LogsAt(level))
     return;
-  if (!state.rate_limiter.TryAcquire()) {
+  if (!state.RateLimiterOf(budget).TryAcquire()) {
     ++state.dropped;
     return;
   }
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -14,9 +14,17 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
+// Lines share a rate limit with those of their own budget only: many requests that fail must not crowd out
+// the lines that say why.
+enum class LogBudget {
+  kProcess,   // the process, its configuration and the endpoint list
+  kRequests,  // single requests, attempts and connections
+};
+
 struct LogSettings {
   enum class Format { kText, kJson } format = Format::kText;
   LogLevel level = LogLevel::kInfo;  // the lowest that is written
+  // Of each budget.
   int lines_per_second = 20;
   int burst = 100;
 };
@@ -38,7 +46,8 @@
 // with "time" (RFC 3339, UTC), "level", "event" and the fields. A field longer than 400 bytes is cut. Lines
 // beyond the rate limit are dropped, and counted by a line `log_lines_dropped` before the next that is
 // written.
-void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {},
+         LogBudget budget = LogBudget::kProcess);
 
 // Whether lines of this level are written, to spare the cost of building those that are not.
 bool LogsAt(LogLevel level);
--- a/src/log/trace.cpp
+++ b/src/log/trace.cpp
@@ -39,60 +39,99 @@
   }
 }
 
+const char* NameOf(StopAttempt::Why reason) {
+  using Why = StopAttempt::Why;
+  switch (reason) {
+    case Why::kRequestAnswered:
+      return "request_answered_or_left";
+    case Why::kWorkerUnavailable:
+      return "worker_unavailable";
+    case Why::kListExpired:
+      return "endpoint_list_expired";
+    case Why::kNotConnectedInTime:
+      return "not_connected_in_time";
+    case Why::kStartWindowOver:
+      return "start_window_over";
+    case Why::kDeadline:
+      return "deadline_exceeded";
+    case Why::kDispatchModule:
+      return "dispatch_module";
+  }
+  return "unknown";
+}
+
 std::uint64_t NumberOf(AttemptId attempt) { return static_cast<std::uint64_t>(attempt); }
 
 // A figure that the worker did not report is logged as -1.
 double FigureOrUnknown(const std::optional<double>& figure) { return figure.value_or(-1.0); }
 
+// What went on as it should is traced at debug, any retry, failure, rejection or stop at info.
+LogLevel LevelOf(const AttemptEnded& event) {
+  return event.outcome == Outcome::kServed ? LogLevel::kDebug : LogLevel::kInfo;
+}
+LogLevel LevelOf(const StartAttempt& effect) {
+  return effect.attempt_number == 0 ? LogLevel::kDebug : LogLevel::kInfo;
+}
+LogLevel LevelOf(const StopAttempt& /*effect*/) { return LogLevel::kInfo; }
+LogLevel LevelOf(const Answer& effect) {
+  return std::holds_alternative<Served>(effect.answer) ? LogLevel::kDebug : LogLevel::kInfo;
+}
+LogLevel LevelOf(const auto& /*event_or_effect*/) { return LogLevel::kDebug; }
+
+void LogTrace(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+  Log(level, event, fields, LogBudget::kRequests);
+}
+
 // Logs an event of the core; events that are not traced match the last overload.
 struct EventTracer {
   void operator()(const RequestReceived& event) const {
-    Log(LogLevel::kDebug, "request_received",
-        {{"client", event.client.number},
-         {"id", event.job.id},
-         {"class", event.job.job_class},
-         {"tenant", event.job.tenant},
-         {"retry", event.job.is_retry},
-         {"time_left_ms", event.job.time_left / kMillisecond}});
+    LogTrace(LogLevel::kDebug, "request_received",
+             {{"client", event.client.number},
+              {"id", event.job.id},
+              {"class", event.job.job_class},
+              {"tenant", event.job.tenant},
+              {"retry", event.job.is_retry},
+              {"time_left_ms", event.job.time_left / kMillisecond}});
   }
   void operator()(const RequestRejectedByFrontend& event) const {
-    Log(LogLevel::kDebug, "request_rejected",
-        {{"frontend", event.frontend == ClientRef::Frontend::kHttp ? "http" : "faktory"},
-         {"id", event.id},
-         {"status", event.status},
-         {"why", event.why}});
+    LogTrace(LogLevel::kDebug, "request_rejected",
+             {{"frontend", event.frontend == ClientRef::Frontend::kHttp ? "http" : "faktory"},
+              {"id", event.id},
+              {"status", event.status},
+              {"why", event.why}});
   }
   void operator()(const ClientLeft& event) const {
-    Log(LogLevel::kDebug, "client_disconnected", {{"client", event.client.number}});
+    LogTrace(LogLevel::kDebug, "client_disconnected", {{"client", event.client.number}});
   }
   void operator()(const AttemptEnded& event) const {
-    Log(LogLevel::kDebug, "attempt_ended",
-        {{"attempt", NumberOf(event.attempt)},
-         {"outcome", NameOf(event.outcome)},
-         {"free", FigureOrUnknown(event.report.free_slots)},
-         {"cpu", FigureOrUnknown(event.report.cpu_share)},
-         {"service_ms", FigureOrUnknown(event.report.service_ms)},
-         {"served_per_s", FigureOrUnknown(event.report.served_per_s)}});
+    LogTrace(LevelOf(event), "attempt_ended",
+             {{"attempt", NumberOf(event.attempt)},
+              {"outcome", NameOf(event.outcome)},
+              {"why", event.why},
+              {"free", FigureOrUnknown(event.report.free_slots)},
+              {"cpu", FigureOrUnknown(event.report.cpu_share)},
+              {"service_ms", FigureOrUnknown(event.report.service_ms)},
+              {"served_per_s", FigureOrUnknown(event.report.served_per_s)}});
   }
   void operator()(const ProbeCompleted& event) const {
-    Log(LogLevel::kDebug, "probe_completed",
-        {{"worker", event.worker},
-         {"outcome", NameOf(event.outcome)},
-         {"elapsed_ms", event.elapsed / kMillisecond},
-         {"free", FigureOrUnknown(event.report.free_slots)},
-         {"cpu", FigureOrUnknown(event.report.cpu_share)},
-         {"service_ms", FigureOrUnknown(event.report.service_ms)},
-         {"served_per_s", FigureOrUnknown(event.report.served_per_s)}});
+    LogTrace(LogLevel::kDebug, "probe_completed",
+             {{"worker", event.worker},
+              {"outcome", NameOf(event.outcome)},
+              {"elapsed_ms", event.elapsed / kMillisecond},
+              {"free", FigureOrUnknown(event.report.free_slots)},
+              {"cpu", FigureOrUnknown(event.report.cpu_share)},
+              {"service_ms", FigureOrUnknown(event.report.service_ms)},
+              {"served_per_s", FigureOrUnknown(event.report.served_per_s)}});
   }
   void operator()(const EndpointListUpdate& event) const {
     for (const WorkerEndpoint& worker : event.workers) {
-      Log(LogLevel::kDebug, "endpoint_list_entry",
-          {{"worker", worker.name},
-           {"state", NameOf(worker.state)},
-           {"zone", worker.zone},
-           {"kind", worker.kind},
-           {"weight", worker.weight},
-           {"started_ms", worker.started / kMillisecond}});
+      LogTrace(LogLevel::kDebug, "endpoint_list_entry",
+               {{"worker", worker.name},
+                {"state", NameOf(worker.state)},
+                {"zone", worker.zone},
+                {"kind", worker.kind},
+                {"weight", worker.weight},
+                {"started_ms", worker.started / kMillisecond}});
     }
   }
   void operator()(const auto& /*event*/) const {}
@@ -101,14 +140,18 @@
 // Logs an effect of the core; effects that are not traced match the last overload.
 struct EffectTracer {
   void operator()(const StartAttempt& effect) const {
-    Log(LogLevel::kDebug, "attempt_started",
-        {{"attempt", NumberOf(effect.attempt)}, {"id", effect.job->id}, {"worker", effect.worker}});
+    LogTrace(LevelOf(effect), "attempt_started",
+             {{"attempt", NumberOf(effect.attempt)},
+              {"number", effect.attempt_number},
+              {"id", effect.job->id},
+              {"worker", effect.worker}});
   }
   void operator()(const StopAttempt& effect) const {
-    Log(LogLevel::kDebug, "attempt_stopped", {{"attempt", NumberOf(effect.attempt)}});
+    LogTrace(LevelOf(effect), "attempt_stopped",
+             {{"attempt", NumberOf(effect.attempt)}, {"why", NameOf(effect.why)}});
   }
   void operator()(const ProbeWorker& effect) const {
-    Log(LogLevel::kDebug, "probe_sent", {{"worker", effect.worker}});
+    LogTrace(LogLevel::kDebug, "probe_sent", {{"worker", effect.worker}});
   }
   void operator()(const Answer& effect) const {
     const char* result = "served";
@@ -121,11 +164,12 @@
     } else if (const auto* failure = std::get_if<Failure>(&effect.answer)) {
       result = NameOf(failure->why);
     }
-    Log(LogLevel::kDebug, "request_answered",
-        {{"client", effect.client.number},
-         {"result", result},
-         {"retry_after_ms", retry_after / kMillisecond},
-         {"why", reason}});
+    LogTrace(LevelOf(effect), "request_answered",
+             {{"client", effect.client.number},
+              {"id", effect.request_id},
+              {"result", result},
+              {"retry_after_ms", retry_after / kMillisecond},
+              {"why", reason}});
   }
   void operator()(const auto& /*effect*/) const {}
 };
@@ -133,13 +177,21 @@
 }  // namespace
 
 void Trace(const Event& event) {
-  if (LogsAt(LogLevel::kDebug))
-    std::visit(EventTracer{}, event);
+  std::visit(
+      [](const auto& typed) {
+        if (LogsAt(LevelOf(typed)))
+          EventTracer{}(typed);
+      },
+      event);
 }
 
 void Trace(const Effect& effect) {
-  if (LogsAt(LogLevel::kDebug))
-    std::visit(EffectTracer{}, effect);
+  std::visit(
+      [](const auto& typed) {
+        if (LogsAt(LevelOf(typed)))
+          EffectTracer{}(typed);
+      },
+      effect);
 }
 
 }  // namespace aldersill
--- a/tests/daemon/daemon_under_test.h
+++ b/tests/daemon/daemon_under_test.h
@@ -135,10 +135,20 @@
 
   // Replaces the program's files; it reads them at its next SIGHUP.
   void WriteConfig(const std::string& config, const nlohmann::json& settings) {
-    std::ofstream(directory_.path() / "config.json") << config;
+    if (std::filesystem::is_directory(directory_.path() / "config.json"))
+      std::filesystem::remove(directory_.path() / "config.json");
+    // By a rename, so that a program that reads it meanwhile finds a complete file or none.
+    std::ofstream(directory_.path() / "config.new") << config;
+    std::filesystem::rename(directory_.path() / "config.new", directory_.path() / "config.json");
     std::ofstream(directory_.path() / "aldersill.yaml") << settings;  // JSON is YAML
   }
 
+  // From now on the program's configuration can be opened but not read, until WriteConfig.
+  void MakeConfigUnreadable() {
+    std::filesystem::remove(directory_.path() / "config.json");
+    std::filesystem::create_directory(directory_.path() / "config.json");
+  }
+
   // Reads the log up to a line that contains `text`. False if the program ends without such a line, or logs
   // none within kLogTimeout.
   bool WaitForLogLine(const std::string& text) {
--- a/tests/daemon/discovery_simulation.cpp
+++ b/tests/daemon/discovery_simulation.cpp
@@ -391,8 +391,6 @@
 // What an agent has counts from the first moment of a new process.
 Micros DiscoverySimulation::NotifiedAtByAgent(const Dispatcher& dispatcher, Micros changed_at) const {
   const Micros known_at = std::max(changed_at, dispatcher.started_at);
-  if (dispatcher.failed)
-    return known_at + kNotificationBound;
   Micros notified_at = known_at;
   if (dispatcher.watch_silent_since != kNever)
     notified_at = std::max(known_at, dispatcher.watch_silent_since + kNotificationBound);
--- a/tests/daemon/lifecycle_test.cpp
+++ b/tests/daemon/lifecycle_test.cpp
@@ -168,6 +168,22 @@
   EndDaemon(&daemon);
 }
 
+// A reload that is missed would leave the program with an address of discovery that has ended.
+TEST_CASE("on SIGHUP a configuration that cannot be read is one log line, and is read once it can be") {
+  nlohmann::json config = ConfigWithoutDiscovery();
+  DaemonUnderTest daemon(config, kNoOperatorSettings);
+  daemon.MakeConfigUnreadable();
+  daemon.Signal(SIGHUP);
+  REQUIRE(daemon.WaitForLogLine("configuration_rejected code=unreadable_file"));
+  config["settings"]["grades"].push_back(config["settings"]["grades"][2]);
+  config["settings"]["grades"].back()["name"] = "nueva";
+  daemon.WriteConfig(config.dump(), kNoOperatorSettings);
+  REQUIRE(daemon.WaitForLogLine("configuration_applied"));
+  const std::string& log = daemon.log();
+  CHECK(log.find("configuration_rejected") == log.rfind("configuration_rejected"));
+  EndDaemon(&daemon);
+}
+
 // ---- Unknown fields and classes ----
 
 TEST_CASE("unknown fields of the platform's configuration are one log line, and the program serves") {
