Add a soak of restarts, moves and drains; count a request's time from its arrival

The checker gains two rules: the 4 s of a reload, and what SIGKILL may find unanswered. The rig's old address now refuses new connections at once, as the platform's does.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "net/tcp_arrival.h"
+
 namespace aldersill {
 namespace {
 
@@ -159,6 +161,7 @@
 
 void ClientConnection::OnRead(bufferevent*, void* self) {
   auto* connection = static_cast<ClientConnection*>(self);
+  connection->RecordArrival();
   if (connection->state_ == State::kReading)
     connection->Read();
   else
@@ -209,6 +212,10 @@
 
 // ---- Reading requests ----
 
+void ClientConnection::RecordArrival() {
+  last_byte_at_ = SteadyNow() - TimeSinceLastReceive(bufferevent_getfd(stream_.get()));
+}
+
 void ClientConnection::Read() {
   evbuffer* input = bufferevent_get_input(stream_.get());
   while (state_ == State::kReading) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -75,6 +75,9 @@
   // The request in flight gets its response later; `client` is its number at the frontend.
   void AwaitAnswer(std::uint64_t client);
   std::uint64_t client() const { return client_; }  // 0 without a request in flight
+  // How long the complete request has waited to be read, in the listen queue, behind another request or while
+  // the process was held up. Its client's time counts from its last byte.
+  Micros TimeSinceArrival() const { return SteadyNow() - last_byte_at_; }
 
   // Whether the peer has closed or reset the connection, as far as the kernel knows. Unread bytes before the
   // end hide it; they are read at once.
@@ -116,6 +119,7 @@
   void HandleDiscardedEnd(InputDiscarder::End end);
 
   bool HasUnreadBytes() const;
+  void RecordArrival();
   void Read();
   void ReadRequestBytes(std::size_t size);
   void BufferNextRequest();
@@ -134,7 +138,8 @@
   RequestReader reader_;
   State state_ = State::kReading;
   Micros since_ = SteadyNow();     // accepted, or last response begun or written
-  Micros request_started_at_ = 0;  // its first byte arrived
+  Micros request_started_at_ = 0;  // its first byte was read
+  Micros last_byte_at_ = 0;        // of what was read or buffered, arrived
   std::uint64_t client_ = 0;
   std::uint64_t requests_ = 0;  // complete ones so far
   bool keep_alive_ = false;
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -112,6 +112,11 @@
     HandleRejection(400, error.what(), id);
     return connection->Respond({.status = 400, .body = std::string(error.what()) + "\n", .headers = ""});
   }
+  job.time_left -= connection->TimeSinceArrival();
+  if (job.time_left <= 0) {
+    HandleRejection(503, "its time was over when it was read", id);
+    return connection->Respond(RejectionResponse(kLateRequestRetryAfter));
+  }
   if (!LimitTimeToDrain(&job)) {
     HandleRejection(503, "too late in a drain", id);
     return connection->Respond(RejectionResponse(kLateRequestRetryAfter));
--- a/tests/daemon/client_requests_test.cpp
+++ b/tests/daemon/client_requests_test.cpp
@@ -122,5 +122,40 @@
   CHECK(Receive(client, "ready\n").text.starts_with(kStatusOk));
 }
 
+TEST_CASE("a request's time counts from its arrival, however late it is read") {
+  ClientScenario scenario;
+  for (const bool accepted_before : {true, false}) {
+    CAPTURE(accepted_before);
+    const std::string id = accepted_before ? "accepted" : "queued";
+    std::optional<Socket> client;
+    if (accepted_before) {
+      client.emplace(scenario.Connect());
+      REQUIRE(Send(*client, kReadyRequest));
+      Receive(*client, "ready\n");
+    }
+    scenario.daemon->Suspend();
+    if (!accepted_before)
+      client.emplace(scenario.Connect());
+    const Clock::time_point sent_at = Clock::now();
+    REQUIRE(Send(*client, Request(id, "", 3'000, "certificado")));
+    std::this_thread::sleep_until(sent_at + std::chrono::milliseconds(2'000));
+    scenario.daemon->Signal(SIGCONT);
+    const Socket attempt = scenario.AcceptAttempt(id);  // is not answered
+    Receive(*client, "\r\n\r\n");
+    CHECK(Clock::now() - sent_at < std::chrono::milliseconds(4'000));
+  }
+}
+
+TEST_CASE("a request whose time is over when it is read is rejected and not forwarded") {
+  ClientScenario scenario;
+  const Socket client = scenario.Connect();
+  scenario.daemon->Suspend();
+  REQUIRE(Send(client, Request("late", "", 200, "certificado")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  scenario.daemon->Signal(SIGCONT);
+  CHECK(Receive(client, "\r\n\r\n").text.starts_with(kStatusUnavailable));
+  CHECK(scenario.NothingForwarded());
+}
+
 }  // namespace
 }  // namespace aldersill::tests
--- a/tests/fleet/checker.cpp
+++ b/tests/fleet/checker.cpp
@@ -23,7 +23,7 @@
   int answers = 0, attempts = 0, runs = 0;
   bool connection_lost = false, dispatcher_killed = false, client_left = false;
   bool left_before_attempt = false;
-  std::int64_t deadline = 0;
+  std::int64_t sent_at = 0, deadline = 0;
   std::optional<std::int64_t> ended_at;  // answered, or left by its client: attempts must be stopped
   std::set<std::uint64_t> open_attempts;
   std::set<int> closed_by;  // dispatchers that closed its connection without an answer
@@ -41,7 +41,9 @@
  private:
   void AddFleetObservation(const Observation& seen);
   void AddRequestObservation(const Observation& seen);
+  void DispatcherStarted(const Observation& started);
   void DispatcherKilled(const Observation& killed);
+  void CheckUnansweredAtKill(const RequestState& request, const std::string& id, int dispatcher);
   void DispatcherResumed(const Observation& resumed);
   void RequestSent(RequestState* request, bool known, const Observation& sent);
   void Answered(RequestState* request, const Observation& answer);
@@ -72,6 +74,7 @@
   const Rules& rules_;
   Verdict verdict_;
   std::map<std::string, RequestState> requests_;
+  std::map<int, std::int64_t> terminated_at_;  // dispatchers that got SIGTERM and have not been restarted
   DrainRule drains_;
   SlowStartRule slow_start_;
   LeaseRule lease_;
@@ -88,9 +91,14 @@
     case Kind::kDispatcherKilled:
       return DispatcherKilled(seen);
     case Kind::kDispatcherStarted:
-      return drains_.DispatcherStarted(seen);
+      return DispatcherStarted(seen);
     case Kind::kDispatcherResumed:
       return DispatcherResumed(seen);
+    case Kind::kDispatcherTerminated:
+      terminated_at_[seen.dispatcher] = seen.at;
+      return;
+    case Kind::kDispatcherReloaded:
+      return drains_.DispatcherReloaded(seen);
     case Kind::kWorkerChanged:
       drains_.WorkerChanged(seen);
       return slow_start_.WorkerChanged(seen);
@@ -138,13 +146,30 @@
   }
 }
 
+void Checker::DispatcherStarted(const Observation& started) {
+  terminated_at_.erase(started.dispatcher);
+  drains_.DispatcherStarted(started);
+}
+
 void Checker::DispatcherKilled(const Observation& killed) {
   for (auto& [id, request] : requests_) {
-    if (request.dispatcher == killed.dispatcher && request.answers == 0)
-      request.dispatcher_killed = true;
+    if (request.dispatcher != killed.dispatcher || request.answers > 0 || request.ended_at ||
+        request.connection_lost)
+      continue;
+    request.dispatcher_killed = true;
+    CheckUnansweredAtKill(request, id, killed.dispatcher);
   }
 }
 
+// Rule: SIGKILL that follows SIGTERM finds no request unanswered but those that were sent soon after SIGTERM,
+// or before it.
+void Checker::CheckUnansweredAtKill(const RequestState& request, const std::string& id, int dispatcher) {
+  const auto terminated = terminated_at_.find(dispatcher);
+  if (terminated != terminated_at_.end() &&
+      request.sent_at > terminated->second + rules_.kill_allowance + rules_.kill_allowance_slack)
+    Violate("found unanswered by SIGKILL, though sent late after SIGTERM", id);
+}
+
 // A stopped dispatcher has its time to answer and to stop attempts from SIGCONT on.
 void Checker::DispatcherResumed(const Observation& resumed) {
   drains_.DispatcherResumed(resumed);
@@ -163,6 +188,7 @@
     Violate("sent twice under one id (a fault of the rig)", sent);
   request->job_class = sent.job_class;
   request->dispatcher = sent.dispatcher;
+  request->sent_at = sent.at;
   request->deadline = sent.deadline;
   ++verdict_.requests;
 }
--- a/tests/fleet/checker.h
+++ b/tests/fleet/checker.h
@@ -20,6 +20,11 @@
   std::int64_t drain_grace = 0;            // from a worker's announced drain to the last new attempt at it
   // A worker's change counts as announced after this, even if it never arrived.
   std::int64_t announcement_bound = 6'000'000;
+  // All that discovery has counts as announced this long after a reload that moves it.
+  std::int64_t reload_bound = 4'000'000;
+  // SIGKILL may find a request unanswered that was sent no later than this after SIGTERM.
+  std::int64_t kill_allowance = 700'000;
+  std::int64_t kill_allowance_slack = 100'000;
   // After a client has left, no attempt of its request starts later than this...
   std::int64_t cancel_bound = 100'000;
   // ...and no first attempt later than this.
--- a/tests/fleet/discovery.cpp
+++ b/tests/fleet/discovery.cpp
@@ -158,6 +158,12 @@
     Answer(call);
 }
 
+void StandInDiscovery::Close() {
+  if (std::exchange(closed_, true) || failure_mode_ == FailureMode::kRefused)
+    return;
+  StopListening();
+}
+
 void StandInDiscovery::SetDown(bool down) {
   down_ = down;
   if (down && !pushed_)
@@ -168,7 +174,7 @@
   const FailureMode before = std::exchange(failure_mode_, mode);
   if (mode != FailureMode::kNone)
     ResetCalls();
-  if (mode == before)
+  if (mode == before || closed_)
     return;
   if (mode == FailureMode::kRefused)
     StopListening();
--- a/tests/fleet/discovery.h
+++ b/tests/fleet/discovery.h
@@ -45,6 +45,10 @@
   // While it is down a polled discovery resets its watches and answers calls 503; an agent leaves calls
   // without an answer. ChangeWorker must not be called meanwhile.
   void SetDown(bool down);
+  // The address accepts no new connection any more; its open calls go on. For good.
+  void Close();
+  // Resets the open calls of a closed address.
+  void ResetOpenCalls() { ResetCalls(); }
   enum class FailureMode { kNone, kErrors, kLosses, kRefused };
   // Resets the open calls. From then on calls are answered 503, never answered, or refused as nobody listens.
   // The list still receives changes. Throws std::runtime_error if it cannot listen again.
@@ -80,7 +84,7 @@
   std::vector<std::uint64_t> entry_versions_;  // of each entry's last change
   std::uint64_t version_;
   AnnouncedCallback announced_;
-  bool down_ = false, ignore_next_ = false;
+  bool down_ = false, ignore_next_ = false, closed_ = false;
   FailureMode failure_mode_ = FailureMode::kNone;
   evhttp_bound_socket* socket_ = nullptr;
   EventPtr<bufferevent> reserved_port_;  // bound, while nobody listens
--- a/tests/fleet/dispatchers.cpp
+++ b/tests/fleet/dispatchers.cpp
@@ -34,7 +34,8 @@
   process.config = context_.deployment.config;
   process.config["name"] = "d" + std::to_string(dispatcher);
   process.config["discovery"] = LocalAddress(discovery_->port(dispatcher));
-  process.config["settings"]["peersTotal"] = context_.table.dispatchers;
+  const int told = context_.table.told_dispatchers;
+  process.config["settings"]["peersTotal"] = told > 0 ? told : context_.table.dispatchers;
   // The list of the start of the run: a machine's cached list may be old. After a move discovery has other
   // versions.
   if (!discovery_->HasMoved(dispatcher))
@@ -66,6 +67,7 @@
 void Dispatchers::Kill(int dispatcher) {
   context_.recorder.Record({.kind = Kind::kDispatcherKilled, .dispatcher = dispatcher});
   processes_[dispatcher].state = ProcessState::kDown;
+  ++processes_[dispatcher].kills;
   processes_[dispatcher].daemon.reset();
 }
 
@@ -73,7 +75,17 @@
   processes_[dispatcher].state = ProcessState::kTerminating;
 }
 
-void Dispatchers::SendTerminate(int dispatcher) { processes_[dispatcher].daemon->Signal(SIGTERM); }
+void Dispatchers::SendTerminate(int dispatcher) {
+  context_.recorder.Record({.kind = Kind::kDispatcherTerminated, .dispatcher = dispatcher});
+  processes_[dispatcher].daemon->Signal(SIGTERM);
+}
+
+void Dispatchers::KillIfTerminating(int dispatcher) {
+  if (processes_[dispatcher].state != ProcessState::kTerminating || !IsRunning(dispatcher))
+    return;
+  Kill(dispatcher);
+  Start(dispatcher);
+}
 
 void Dispatchers::Pause(int dispatcher) {
   processes_[dispatcher].state = ProcessState::kPaused;
@@ -90,6 +102,9 @@
   Process& process = processes_[dispatcher];
   process.config["discovery"] = LocalAddress(discovery_->port(dispatcher));
   process.daemon->WriteConfig(process.config.dump(), process.operator_settings);
+  context_.recorder.Record({.kind = Kind::kDispatcherReloaded,
+                            .dispatcher = dispatcher,
+                            .discovery_address = discovery_->address_number(dispatcher)});
   process.daemon->Signal(SIGHUP);
 }
 
--- a/tests/fleet/dispatchers.h
+++ b/tests/fleet/dispatchers.h
@@ -33,12 +33,20 @@
   // SendTerminate.
   void BeginTermination(int dispatcher);
   void SendTerminate(int dispatcher);
+  // Kills the process that got the last SIGTERM, unless it has ended.
+  void KillIfTerminating(int dispatcher);
   void Pause(int dispatcher);
   void Resume(int dispatcher);
   // Lets it read a configuration with the present address of discovery.
   void Reload(int dispatcher);
+  // The same where that address has not changed.
+  void ReloadUnchanged(int dispatcher) { processes_[dispatcher].daemon->Signal(SIGHUP); }
 
   bool IsUp(int dispatcher) const { return processes_[dispatcher].state == ProcessState::kUp; }
+  // Up, and ready if it was restarted.
+  bool IsReady(int dispatcher) const { return IsUp(dispatcher) && processes_[dispatcher].restarted_at == 0; }
+  // How often its process was killed.
+  int kills(int dispatcher) const { return processes_[dispatcher].kills; }
   bool IsRunning(int dispatcher) const { return processes_[dispatcher].daemon != nullptr; }
   std::uint16_t http_port(int dispatcher) const { return processes_[dispatcher].daemon->ports().at("http"); }
 
@@ -61,6 +69,7 @@
     nlohmann::json config, operator_settings;
     ProcessState state = ProcessState::kDown;
     bool started_before = false;
+    int kills = 0;
     Micros restarted_at = 0;  // by the steady clock; 0 once it is ready
     EventPtr<evhttp_connection> readiness_connection;
     bool readiness_asked = false;
--- a/tests/fleet/drain_rule.cpp
+++ b/tests/fleet/drain_rule.cpp
@@ -32,6 +32,9 @@
 }
 
 void DrainRule::WorkerAnnounced(const Observation& announcement) {
+  const auto move = moves_.find(announcement.dispatcher);
+  if (move != moves_.end() && announcement.discovery_address >= move->second.address)
+    moves_.erase(move);
   auto& since = announced_[{announcement.dispatcher, announcement.worker}];
   if (announcement.available) {
     since.reset();
@@ -42,11 +45,23 @@
 
 void DrainRule::DispatcherStarted(const Observation& started) {
   dispatchers_.insert(started.dispatcher);
+  moves_.erase(started.dispatcher);
   std::erase_if(announced_, [&](const auto& entry) { return entry.first.first == started.dispatcher; });
   for (const int worker : unavailable_workers_)
     CountAsAnnounced(started.dispatcher, worker, started.at);
 }
 
+void DrainRule::DispatcherReloaded(const Observation& reloaded) {
+  // Further reloads do not begin the time anew.
+  Move& move = moves_.try_emplace(reloaded.dispatcher, Move{.at = reloaded.at}).first->second;
+  move.address = reloaded.discovery_address;
+  for (const int worker : unavailable_workers_) {
+    auto& since = counts_as_announced_[{reloaded.dispatcher, worker}];
+    const std::int64_t bound = move.at + rules_.reload_bound;
+    since = since ? std::min(*since, bound) : bound;
+  }
+}
+
 void DrainRule::DispatcherResumed(const Observation& resumed) {
   for (auto& [pair, since] : announced_) {
     if (pair.first == resumed.dispatcher && since)
@@ -65,8 +80,12 @@
 void DrainRule::CountAsAnnounced(int dispatcher, int worker, std::int64_t changed_at) {
   auto& since = counts_as_announced_[{dispatcher, worker}];
   since.reset();
-  if (!cut_off_dispatchers_.contains(dispatcher))
-    since = changed_at + rules_.announcement_bound;
+  if (cut_off_dispatchers_.contains(dispatcher))
+    return;
+  since = changed_at + rules_.announcement_bound;
+  const auto move = moves_.find(dispatcher);
+  if (move != moves_.end())
+    since = std::min(*since, std::max(changed_at, move->second.at + rules_.reload_bound));
 }
 
 bool DrainRule::IsLate(const Since& since, const Observation& attempt) const {
--- a/tests/fleet/drain_rule.h
+++ b/tests/fleet/drain_rule.h
@@ -24,6 +24,8 @@
   void WorkerAnnounced(const Observation& announcement);
   // A new process has received no announcement yet.
   void DispatcherStarted(const Observation& started);
+  // All that discovery has counts some time after a reload that moves it, also what it gets until then.
+  void DispatcherReloaded(const Observation& reloaded);
   // A stopped process reads no announcement: its time begins when it resumes.
   void DispatcherResumed(const Observation& resumed);
 
@@ -40,8 +42,14 @@
   std::set<int> dispatchers_;
   std::set<int> unavailable_workers_;
   std::set<int> cut_off_dispatchers_;  // cannot reach discovery
-  Since announced_;                    // when discovery wrote the change to the dispatcher
-  Since counts_as_announced_;          // when the change counts as announced in any case
+  // Dispatchers that were moved to an address which has not announced anything to them yet.
+  struct Move {
+    std::int64_t at = 0;  // the first one since discovery last announced anything at the present address
+    int address = 0;
+  };
+  std::map<int, Move> moves_;
+  Since announced_;            // when discovery wrote the change to the dispatcher
+  Since counts_as_announced_;  // when the change counts as announced in any case
 };
 
 }  // namespace aldersill::fleet
--- a/tests/fleet/fault_injector.cpp
+++ b/tests/fleet/fault_injector.cpp
@@ -11,6 +11,8 @@
 // Requests that clients have begun to send must be on the wire before SIGTERM, however slow the machine is:
 // one that arrives later is not owed an answer.
 constexpr int kTurnsBeforeTerm = 10;
+// The longest deadline, which counts as 3 s at most, and 0.7 s after SIGTERM.
+constexpr int kEarliestKillMs = 3'700;
 
 }  // namespace
 
@@ -40,6 +42,10 @@
     KillAndRestart(fault);
   } else if (fault.kind == FaultKind::kTerminate) {
     Terminate(fault.dispatcher);
+  } else if (fault.kind == FaultKind::kRestart) {
+    Restart(fault.dispatcher);
+  } else if (fault.kind == FaultKind::kReload) {
+    targets_.dispatchers->ReloadUnchanged(fault.dispatcher);
   } else if (fault.kind == FaultKind::kPause) {
     PauseAndResume(fault);
   } else {
@@ -60,6 +66,13 @@
   });
 }
 
+void FaultInjector::Restart(int dispatcher) {
+  Terminate(dispatcher);
+  context_.scheduler.RunIn(kEarliestKillMs, [dispatchers = targets_.dispatchers, dispatcher] {
+    dispatchers->KillIfTerminating(dispatcher);
+  });
+}
+
 void FaultInjector::PauseAndResume(const Fault& fault) {
   targets_.dispatchers->Pause(fault.dispatcher);
   context_.scheduler.RunIn(
@@ -137,7 +150,11 @@
 void FaultInjector::MoveDiscovery(const Fault& fault) {
   StandInDiscovery* before = targets_.discovery->Move(fault.dispatcher);
   targets_.dispatchers->Reload(fault.dispatcher);
-  context_.scheduler.RunIn(fault.for_ms, [before] { before->SetDown(true); });
+  before->Close();
+  context_.scheduler.RunIn(fault.for_ms, [before] {
+    before->SetDown(true);
+    before->ResetOpenCalls();
+  });
 }
 
 void FaultInjector::FailDiscoveryCalls(const Fault& fault, StandInDiscovery::FailureMode mode) {
--- a/tests/fleet/fault_injector.h
+++ b/tests/fleet/fault_injector.h
@@ -46,6 +46,7 @@
 
   void KillAndRestart(const Fault& fault);
   void Terminate(int dispatcher);
+  void Restart(int dispatcher);
   void PauseAndResume(const Fault& fault);
   void ResetConnections(const Fault& fault);
   void DrainWorker(const Fault& fault);
--- a/tests/fleet/fleet_discovery.cpp
+++ b/tests/fleet/fleet_discovery.cpp
@@ -19,15 +19,19 @@
 
 FleetDiscovery::FleetDiscovery(const RunContext& context, const WorkerLinks& links)
     : context_(context), links_(links) {
-  for (int dispatcher = 0; dispatcher < context_.table.dispatchers; ++dispatcher)
-    discoveries_.emplace_back().push_back(Make(dispatcher, InitialList(dispatcher), 1));
+  for (int dispatcher = 0; dispatcher < context_.table.dispatchers; ++dispatcher) {
+    discoveries_.emplace_back();
+    discoveries_.back().push_back(Make(dispatcher, InitialList(dispatcher), 1));
+  }
 }
 
 std::unique_ptr<StandInDiscovery> FleetDiscovery::Make(int dispatcher, nlohmann::json list,
                                                        std::uint64_t version) {
-  return std::make_unique<StandInDiscovery>(
-      context_.base, context_.deployment.lists_pushed, std::move(list), version,
-      [this, dispatcher](int worker, bool serving) { RecordAnnouncement(dispatcher, worker, serving); });
+  const int address = address_number(dispatcher) + 1;
+  return std::make_unique<StandInDiscovery>(context_.base, context_.deployment.lists_pushed, std::move(list),
+                                            version, [this, dispatcher, address](int worker, bool serving) {
+                                              RecordAnnouncement(dispatcher, address, worker, serving);
+                                            });
 }
 
 nlohmann::json FleetDiscovery::InitialList(int dispatcher) const {
@@ -110,7 +114,8 @@
   if (!context_.deployment.lists_pushed || outages_ > 0)
     return;
   for (int worker = 0; worker < context_.table.workers; ++worker)
-    RecordAnnouncement(dispatcher, worker, Current(dispatcher)->list().at(worker).at("state") == kServing);
+    RecordAnnouncement(dispatcher, address_number(dispatcher), worker,
+                       Current(dispatcher)->list().at(worker).at("state") == kServing);
 }
 
 void FleetDiscovery::RecordReachable(int dispatcher, bool reachable) {
@@ -118,9 +123,12 @@
       {.kind = Kind::kDiscoveryReachable, .dispatcher = dispatcher, .available = reachable});
 }
 
-void FleetDiscovery::RecordAnnouncement(int dispatcher, int worker, bool serving) {
-  context_.recorder.Record(
-      {.kind = Kind::kWorkerAnnounced, .dispatcher = dispatcher, .worker = worker, .available = serving});
+void FleetDiscovery::RecordAnnouncement(int dispatcher, int address, int worker, bool serving) {
+  context_.recorder.Record({.kind = Kind::kWorkerAnnounced,
+                            .dispatcher = dispatcher,
+                            .worker = worker,
+                            .available = serving,
+                            .discovery_address = address});
 }
 
 }  // namespace aldersill::fleet
--- a/tests/fleet/fleet_discovery.h
+++ b/tests/fleet/fleet_discovery.h
@@ -22,7 +22,9 @@
 
   // Where `dispatcher` reaches discovery now.
   std::uint16_t port(int dispatcher) const { return Current(dispatcher)->port(); }
-  bool HasMoved(int dispatcher) const { return discoveries_[dispatcher].size() > 1; }
+  bool HasMoved(int dispatcher) const { return address_number(dispatcher) > 0; }
+  // Of the present address.
+  int address_number(int dispatcher) const { return static_cast<int>(discoveries_[dispatcher].size()) - 1; }
   // The list as it was at the start of the run.
   nlohmann::json InitialList(int dispatcher) const;
 
@@ -50,7 +52,7 @@
   std::unique_ptr<StandInDiscovery> Make(int dispatcher, nlohmann::json list, std::uint64_t version);
   void SetAllDown(bool down);
   void RecordReachable(int dispatcher, bool reachable);
-  void RecordAnnouncement(int dispatcher, int worker, bool serving);
+  void RecordAnnouncement(int dispatcher, int address, int worker, bool serving);
 
   RunContext context_;
   const WorkerLinks& links_;
--- a/tests/fleet/fleet_run.cpp
+++ b/tests/fleet/fleet_run.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleet_run.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -9,6 +10,7 @@
 #include "fleet/fault_injector.h"
 #include "fleet/fleet_discovery.h"
 #include "fleet/idle_clients.h"
+#include "fleet/keep_alive_clients.h"
 #include "fleet/recorder.h"
 #include "fleet/run_context.h"
 #include "fleet/scheduler.h"
@@ -42,6 +44,7 @@
         discovery_(context_, links_),
         dispatchers_(context_, &discovery_, MakeCluster(), program),
         clients_(context_, &dispatchers_),
+        keep_alive_clients_(context_, &dispatchers_),
         idle_clients_(context_, &dispatchers_),
         faults_(context_, {.workers = &workers_,
                            .links = &links_,
@@ -57,6 +60,7 @@
       dispatchers_.Start(dispatcher);
     ScheduleFaults();
     ScheduleRequests();
+    keep_alive_clients_.Begin();
     ScheduleTick();
     event_base_dispatch(base_.get());
     dispatchers_.RecordUnfinishedRestarts();
@@ -115,9 +119,11 @@
   bool NothingIsPending() const {
     const bool all_sent = SteadyNow() - started_ >= (table_.length_ms + kMarginMs) * kMillisecond;
     // An attempt that is never stopped must not keep the run going.
-    const bool stop_overdue = SteadyNow() - clients_.last_end() > 2 * deployment_.rules.slack;
+    const Micros last_end = std::max(clients_.last_end(), keep_alive_clients_.last_end());
+    const bool stop_overdue = SteadyNow() - last_end > 2 * deployment_.rules.slack;
     return all_sent && dispatchers_.AllUp() && dispatchers_.AllRestartsFinished() &&
-           clients_.waiting() == 0 && (!links_.HasOpenAttempt() || stop_overdue);
+           clients_.waiting() == 0 && keep_alive_clients_.waiting() == 0 &&
+           (!links_.HasOpenAttempt() || stop_overdue);
   }
 
   RunResult TakeResult() {
@@ -147,6 +153,7 @@
   std::unique_ptr<ClusterMembership> cluster_;  // null if the dispatchers do not know one another
   Dispatchers dispatchers_;
   ServiceClients clients_;
+  KeepAliveClients keep_alive_clients_;
   IdleClients idle_clients_;
   FaultInjector faults_;
   Timer tick_;
--- a/tests/fleet/main.cpp
+++ b/tests/fleet/main.cpp
@@ -12,6 +12,7 @@
 #include "fleet/checker.h"
 #include "fleet/deployment.h"
 #include "fleet/fleet_run.h"
+#include "fleet/soak_timetable.h"
 #include "fleet/timetable.h"
 
 namespace {
@@ -28,6 +29,7 @@
   std::string timetable_file;
   std::string program = ALDERSILL_PROGRAM;
   bool planted = false;
+  bool soak = false;
   std::string rule;
   bool reduce = true;
 };
@@ -51,6 +53,8 @@
   app->add_flag("--planted", options->planted,
                 "the program has a planted defect: fail unless a rule is broken within the seeds");
   app->add_option("--rule", options->rule, "with --planted: a rule must be broken whose line contains this");
+  app->add_flag("--soak", options->soak,
+                "soak runs: restarts up to SIGKILL, reloads in series, clients on open connections");
   app->add_flag("!--whole", options->reduce, "do not reduce a failing timetable");
 }
 
@@ -135,6 +139,8 @@
   std::string deployment = options.deployment;
   if (deployment == "both")
     deployment = seed % 2 == 1 ? "first" : "consortium";
+  if (options.soak)
+    return DrawSoakTimetable(seed, deployment);
   return DrawTimetable(seed, deployment, options.dispatchers, options.workers);
 }
 
--- a/tests/fleet/observation.cpp
+++ b/tests/fleet/observation.cpp
@@ -7,11 +7,26 @@
 
 const char* Name(Observation::Kind kind) {
   // In the order of Observation::Kind.
-  constexpr std::array<const char*, 18> names = {
-      "request sent",       "closed unanswered",  "answered",       "connection lost",  "client left",
-      "attempt started",    "attempt ended",      "job started",    "job result",       "dispatcher killed",
-      "dispatcher started", "dispatcher resumed", "worker changed", "worker announced", "discovery reachable",
-      "restart finished",   "lease reported",     "run ended"};
+  constexpr std::array<const char*, 20> names = {"request sent",
+                                                 "closed unanswered",
+                                                 "answered",
+                                                 "connection lost",
+                                                 "client left",
+                                                 "attempt started",
+                                                 "attempt ended",
+                                                 "job started",
+                                                 "job result",
+                                                 "dispatcher killed",
+                                                 "dispatcher started",
+                                                 "dispatcher resumed",
+                                                 "dispatcher terminated",
+                                                 "dispatcher reloaded",
+                                                 "worker changed",
+                                                 "worker announced",
+                                                 "discovery reachable",
+                                                 "restart finished",
+                                                 "lease reported",
+                                                 "run ended"};
   return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/tests/fleet/service_clients.cpp
+++ b/tests/fleet/service_clients.cpp
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "fleet/job_request.h"
 #include "net/steady_clock.h"
 
 namespace aldersill::fleet {
@@ -19,7 +20,6 @@
 constexpr std::size_t kFloodBytes = std::size_t{256} * 1024;
 constexpr int kIdleMs = 200;  // for which connections are idle before SIGTERM
 constexpr int kTurnsBeforeTerm = 10;
-constexpr int kCostPerMeanMs = 500;  // of the sum of the shortest and the longest time
 
 }  // namespace
 
@@ -91,22 +91,13 @@
 }
 
 evhttp_request* ServiceClients::MakeRequest(Client* client) const {
-  const JobClass& job_class = *client->job_class;
   evhttp_request* request = evhttp_request_new(&ServiceClients::OnAnswer, client);
-  auto* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", "origin.svc");
-  evhttp_add_header(headers, "Req-Id", client->id.c_str());
-  evhttp_add_header(headers, "Req-Kind", job_class.name.c_str());
-  evhttp_add_header(headers, "Req-Owner", client->tenant.c_str());
-  evhttp_add_header(headers, "Req-Deadline", (std::to_string(client->deadline_ms) + "m").c_str());
-  if (job_class.has_idempotency_key)
-    evhttp_add_header(headers, "Idempotency-Key", client->id.c_str());
-  if (context_.deployment.clients_report_cost) {
-    evhttp_add_header(headers, "Req-Cost",
-                      std::to_string((job_class.min_ms + job_class.max_ms) * kCostPerMeanMs).c_str());
-    evhttp_add_header(headers, "Req-Extra", "slots=1,memory=0.6");
-  }
-  evhttp_add_header(headers, "Connection", "close");
+  AddJobHeaders(request, context_.deployment,
+                {.id = client->id,
+                 .job_class = *client->job_class,
+                 .tenant = client->tenant,
+                 .deadline_ms = client->deadline_ms});
+  evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
   return request;
 }
 
--- a/tests/fleet/timetable.cpp
+++ b/tests/fleet/timetable.cpp
@@ -272,6 +272,8 @@
     case FaultKind::kTerminate:
     case FaultKind::kPause:
     case FaultKind::kHang:
+    case FaultKind::kRestart:
+    case FaultKind::kReload:
       return FaultGroup::kProcess;
     case FaultKind::kCutToWorker:
     case FaultKind::kCutFromWorker:
@@ -291,7 +293,8 @@
 
 bool NeedsRunningProcess(FaultKind kind) {
   return kind == FaultKind::kKill || kind == FaultKind::kTerminate || kind == FaultKind::kPause ||
-         kind == FaultKind::kDiscoveryMove || kind == FaultKind::kRequestsDuringShutdown;
+         kind == FaultKind::kDiscoveryMove || kind == FaultKind::kRequestsDuringShutdown ||
+         kind == FaultKind::kRestart || kind == FaultKind::kReload;
 }
 
 Timetable DrawTimetable(std::uint64_t seed, const std::string& deployment, int dispatchers, int workers) {
--- a/tests/fleet/timetable.h
+++ b/tests/fleet/timetable.h
@@ -53,6 +53,8 @@
                             // an answer
   kIdleClients,  // `amount` clients connect and send nothing, or half a head, and connect again when
                  // they are closed
+  kRestart,      // SIGTERM, SIGKILL at the earliest time that the platform allows, and a new process
+  kReload,       // SIGHUP with nothing changed
   // Of the datagrams from the dispatcher to a peer, `worker` in Fault, for `for_ms`:
   kUdpCut,              // none passes
   kUdpLoss,             // `amount` percent are lost
@@ -84,7 +86,9 @@
   SettingsVariant variant = SettingsVariant::kNone;
   bool members = false;  // the dispatchers know one another, and one at a time holds a lease
   int dispatchers = 12, workers = 6, requests = 300, length_ms = 3'000;
-  std::vector<Fault> faults;  // by time
+  int told_dispatchers = 0;    // how many the settings say there are; 0: as many as there are
+  int keep_alive_clients = 0;  // clients that send one request after another on a connection, while it lasts
+  std::vector<Fault> faults;   // by time
 };
 
 // The same seed draws the same timetable on every machine. One seed in five ignores calls to discovery, and
--- a/tests/fleet/timetable_test.cpp
+++ b/tests/fleet/timetable_test.cpp
@@ -6,6 +6,8 @@
 #include <stdexcept>
 #include <string>
 
+#include "fleet/soak_timetable.h"
+
 namespace aldersill::fleet {
 namespace {
 
@@ -17,6 +19,11 @@
     CHECK(text == ToYaml(FromYaml(text)));
     CHECK(text != ToYaml(DrawTimetable(seed + 1, "first", 12, 6)));
   }
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const std::string text = ToYaml(DrawSoakTimetable(seed, "first"));
+    CHECK(text == ToYaml(DrawSoakTimetable(seed, "first")));
+    CHECK(text == ToYaml(FromYaml(text)));
+  }
   const std::string head = "seed: 1\ndispatchers: 3\nworkers: 2\nrequests: 10\nlength_ms: 100\nfaults:\n";
   const auto refusal = [&](const std::string& fault) -> std::string {
     try {
--- a/tests/fleet/timetable_yaml.cpp
+++ b/tests/fleet/timetable_yaml.cpp
@@ -11,12 +11,14 @@
 namespace {
 
 constexpr int kMaxCount = 100;  // of dispatchers, of workers
+constexpr int kMaxToldDispatchers = 1'000;
+constexpr int kMaxKeepAliveClients = 1'000;
 constexpr int kMaxRequests = 100'000;
 constexpr int kMaxLengthMs = 3'600'000;
 constexpr int kMaxFaultNumber = 60'000;  // of for_ms, of amount
 
 // In the order of FaultKind.
-constexpr std::array<const char*, 26> kKindWords = {"kill",
+constexpr std::array<const char*, 28> kKindWords = {"kill",
                                                     "terminate",
                                                     "pause",
                                                     "cut_there",
@@ -36,6 +38,8 @@
                                                     "leave",
                                                     "resting_requests",
                                                     "idle_clients",
+                                                    "restart",
+                                                    "reload",
                                                     "udp_cut",
                                                     "udp_thin",
                                                     "udp_delay",
@@ -108,6 +112,10 @@
   table.workers = ReadNumber(root, "workers", 1, kMaxCount);
   table.requests = ReadNumber(root, "requests", 1, kMaxRequests);
   table.length_ms = ReadNumber(root, "length_ms", 1, kMaxLengthMs);
+  if (root["told_dispatchers"])
+    table.told_dispatchers = ReadNumber(root, "told_dispatchers", 0, kMaxToldDispatchers);
+  if (root["keep_alive_clients"])
+    table.keep_alive_clients = ReadNumber(root, "keep_alive_clients", 0, kMaxKeepAliveClients);
   for (const YAML::Node& node : root["faults"])
     table.faults.push_back(ReadFault(node, table));
   std::ranges::stable_sort(table.faults, {}, &Fault::at_ms);
@@ -143,6 +151,8 @@
   Write(&out, "workers", table.workers);
   Write(&out, "requests", table.requests);
   Write(&out, "length_ms", table.length_ms);
+  Write(&out, "told_dispatchers", table.told_dispatchers);
+  Write(&out, "keep_alive_clients", table.keep_alive_clients);
   out << YAML::Key << "faults" << YAML::Value << YAML::BeginSeq;
   for (const Fault& fault : table.faults)
     WriteFault(&out, fault);
