--- a/src/http/discovery_client.cpp
+++ b/src/http/discovery_client.cpp
@@ -39,7 +39,7 @@
     : base_(base),
       endpoint_(endpoint),
       sink_(sink),
-      scheduler_(std::move(scheduler)),
+      scheduler_(scheduler),
       // Polls are sent by timer, not from within evhttp's callback, which still uses the connection.
       poll_timer_(base, [this] { SendPoll(); }),
       probe_timer_(base, [this] { probe_.Start(); }),
--- a/tests/fleet/dispatchers.cpp
+++ b/tests/fleet/dispatchers.cpp
@@ -34,8 +34,8 @@
   process.config = context_.deployment.config;
   process.config["name"] = "d" + std::to_string(dispatcher);
   process.config["discovery"] = LocalAddress(discovery_->port(dispatcher));
-  const int told = context_.table.told_dispatchers;
-  process.config["settings"]["peersTotal"] = told > 0 ? told : context_.table.dispatchers;
+  const int fleet_size = context_.table.configured_fleet_size;
+  process.config["settings"]["peersTotal"] = fleet_size > 0 ? fleet_size : context_.table.dispatchers;
   // The list of the start of the run: a machine's cached list may be old. After a move discovery has other
   // versions.
   if (!discovery_->HasMoved(dispatcher))
--- a/tests/fleet/soak_timetable.cpp
+++ b/tests/fleet/soak_timetable.cpp
@@ -15,7 +15,7 @@
 constexpr int kCrowdPerDispatcher = 60;
 constexpr int kPreviousAddressMs = 1'500;  // for which calls at the previous address stay open
 constexpr int kLastMoveMs = 9'000;         // so that its bounds end within the run
-constexpr std::array<int, 5> kToldDispatchers = {3, 100, 178, 198, 300};
+constexpr std::array<int, 5> kFleetSizes = {3, 100, 178, 198, 300};
 // What becomes of a dispatcher's calls at its new address.
 constexpr std::array<FaultKind, 4> kNewAddressFaults = {
     FaultKind::kIgnoredDiscoveryCalls, FaultKind::kDiscoveryErrors, FaultKind::kDiscoveryLosses,
@@ -31,7 +31,7 @@
     table_.requests = 400;
     table_.length_ms = kLengthMs;
     table_.keep_alive_clients = kKeepAliveClients;
-    table_.told_dispatchers = kToldDispatchers[seed % kToldDispatchers.size()];
+    table_.configured_fleet_size = kFleetSizes[seed % kFleetSizes.size()];
   }
 
   Timetable Build() {
--- a/tests/fleet/timetable.h
+++ b/tests/fleet/timetable.h
@@ -86,7 +86,7 @@
   SettingsVariant variant = SettingsVariant::kNone;
   bool members = false;  // the dispatchers know one another, and one at a time holds a lease
   int dispatchers = 12, workers = 6, requests = 300, length_ms = 3'000;
-  int told_dispatchers = 0;    // how many the settings say there are; 0: as many as there are
+  int configured_fleet_size = 0;  // how many the settings say there are; 0: as many as there are
   int keep_alive_clients = 0;  // clients that send one request after another on a connection, while it lasts
   std::vector<Fault> faults;   // by time
 };
--- a/tests/fleet/timetable_yaml.cpp
+++ b/tests/fleet/timetable_yaml.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr int kMaxCount = 100;  // of dispatchers, of workers
-constexpr int kMaxToldDispatchers = 1'000;
+constexpr int kMaxFleetSize = 1'000;
 constexpr int kMaxKeepAliveClients = 1'000;
 constexpr int kMaxRequests = 100'000;
 constexpr int kMaxLengthMs = 3'600'000;
@@ -112,8 +112,8 @@
   table.workers = ReadNumber(root, "workers", 1, kMaxCount);
   table.requests = ReadNumber(root, "requests", 1, kMaxRequests);
   table.length_ms = ReadNumber(root, "length_ms", 1, kMaxLengthMs);
-  if (root["told_dispatchers"])
-    table.told_dispatchers = ReadNumber(root, "told_dispatchers", 0, kMaxToldDispatchers);
+  if (root["configured_fleet_size"])
+    table.configured_fleet_size = ReadNumber(root, "configured_fleet_size", 0, kMaxFleetSize);
   if (root["keep_alive_clients"])
     table.keep_alive_clients = ReadNumber(root, "keep_alive_clients", 0, kMaxKeepAliveClients);
   for (const YAML::Node& node : root["faults"])
@@ -151,7 +151,7 @@
   Write(&out, "workers", table.workers);
   Write(&out, "requests", table.requests);
   Write(&out, "length_ms", table.length_ms);
-  Write(&out, "told_dispatchers", table.told_dispatchers);
+  Write(&out, "configured_fleet_size", table.configured_fleet_size);
   Write(&out, "keep_alive_clients", table.keep_alive_clients);
   out << YAML::Key << "faults" << YAML::Value << YAML::BeginSeq;
   for (const Fault& fault : table.faults)
