--- a/src/http/watch_scheduler.cpp
+++ b/src/http/watch_scheduler.cpp
@@ -34,7 +34,7 @@
       previous.poll_outstanding_ && previous.last_poll_wait_ == 0 && !previous.pushed();
   failed_since_answer_ = previous.failed_since_answer_ || first_poll_abandoned;
   if (pushed()) {
-    initial_list_valid_until_ = reload_bound_;
+    initial_list_valid_until_ = kNever;  // until an answer the reload alone bounds it
     return;
   }
   initial_list_valid_until_ = now + std::max<Micros>(0, settings_.max_poll_interval - kLongPollWait);
--- a/tests/cold_fleet_test.cpp
+++ b/tests/cold_fleet_test.cpp
@@ -60,22 +60,23 @@
     for (int n = 0; n < nodes; ++n) {
       nodes_.emplace_back().rate = uneven && n % 10 == 0 ? Between(3.0, 6.0) : Between(0.7, 1.3);
       // Where a worker starts anew under its name, some have the older list for a while.
-      nodes_.back().told_at = start_ + (Chance(0.15) ? static_cast<Micros>(Between(0.1, 2.0) * kSecond) : 0);
+      nodes_.back().notified_at =
+          start_ + (Chance(0.15) ? static_cast<Micros>(Between(0.1, 2.0) * kSecond) : 0);
       parts += nodes_.back().rate;
     }
     for (int n = 0; n < nodes; ++n) {
       nodes_[n].rate *= rate / parts;
       Restart(n);
-      if (nodes_[n].told_at > start_)
-        At(nodes_[n].told_at, [this, n] { TellList(n); });
+      if (nodes_[n].notified_at > start_)
+        At(nodes_[n].notified_at, [this, n] { PostList(n); });
       At(begin_, [this, n] { Next(n); });
     }
     At(start_, [this] {
       for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
         if (what_ == Case::kRestarted || what_ == Case::kMisled)
           Restart(n);
-        if (nodes_[n].told_at <= now_)
-          TellList(n);
+        if (nodes_[n].notified_at <= now_)
+          PostList(n);
       }
     });
     // One in five is started anew while workers are cold, and does not know what it has sent to them.
@@ -113,13 +114,13 @@
   struct Node {
     std::unique_ptr<Dispatcher> dispatcher;
     double rate = 0.0;  // jobs a microsecond
-    Micros told_at = 0;
+    Micros notified_at = 0;
     int life = 0;
   };
   struct Sent {
     Micros at;
     double work;  // in mean jobs
-    bool told;
+    bool from_notified;
   };
   struct Box {
     std::string name;
@@ -182,7 +183,7 @@
   void DrawWorkers() {
     const int most = static_cast<int>(12'000 * mean_job_ / kSecond / 50);
     const int boxes = std::clamp(most, 5, std::clamp(settings_.nodes / 2, 8, 40));
-    const int told = static_cast<int>(random_() % 3);  // weights: as they are, roughly, not at all
+    const int weight_accuracy = static_cast<int>(random_() % 3);  // weights: as they are, roughly, not at all
     const bool many = Chance(what_ == Case::kMisled ? 0.3 : 0.6);  // six in ten start, or one alone
     const double slots[] = {2.0 + random_() % 4, 2.0 + random_() % 4};
     for (int i = 0; i < boxes; ++i) {
@@ -192,7 +193,9 @@
       b.cold = many ? i % 10 < 6 : i == 0;
       b.bad = !b.cold && i % 10 == 9;
       b.entry = Entry(b.name, i % 4 < 2 ? "near" : "far", i / 4, i % 2 == 0 ? "box" : "crate");
-      b.entry.weight = told == 0 ? b.slots : told == 1 ? b.slots * Between(0.7, 1.3) : 1.0;
+      b.entry.weight = weight_accuracy == 0   ? b.slots
+                       : weight_accuracy == 1 ? b.slots * Between(0.7, 1.3)
+                                              : 1.0;
       slots_ += b.slots;
     }
   }
@@ -200,13 +203,13 @@
   void Restart(int n) {
     nodes_[n].dispatcher = std::make_unique<Dispatcher>(settings_, random_());
     ++nodes_[n].life;
-    TellList(n);
+    PostList(n);
   }
-  void TellList(int n) {
+  void PostList(int n) {
     std::vector<WorkerEntry> entries;
     for (const Box& b : boxes_) {
       entries.push_back(b.entry);
-      if (b.cold && now_ >= start_ && now_ >= nodes_[n].told_at)
+      if (b.cold && now_ >= start_ && now_ >= nodes_[n].notified_at)
         entries.back().since = start_;
     }
     Do(n, WorkerList{WorkerList::Form::kFull, entries});
@@ -247,13 +250,13 @@
     const int life = nodes_[n].life;
     for (const Action& action : actions) {
       if (const auto* timer = std::get_if<SetTimer>(&action)) {
-        At(now_ + timer->delay, [this, n, life, token = timer->token] { Tell(n, life, TimerFired{token}); });
+        At(now_ + timer->delay, [this, n, life, token = timer->token] { Post(n, life, TimerFired{token}); });
       } else if (const auto* send = std::get_if<Send>(&action)) {
         Run(n, *send);
       }
     }
   }
-  void Tell(int n, int life, const Event& event) {
+  void Post(int n, int life, const Event& event) {
     if (nodes_[n].life == life)
       Do(n, event);
   }
@@ -264,7 +267,7 @@
     const int attempt_number = attempts_[id]++;
     const double work = jobs_[id];
     if (b.cold && now_ >= start_)
-      b.sent.push_back({now_, work / mean_job_, now_ >= nodes_[n].told_at});
+      b.sent.push_back({now_, work / mean_job_, now_ >= nodes_[n].notified_at});
     const int life = nodes_[n].life;
     AttemptEnded e;
     e.request = send.request;
@@ -276,20 +279,20 @@
                                               : Outcome::kServed;
     e.report.free_slots = std::max(0.0, b.slots - b.in_work) * Between(0.95, 1.05);
     if (e.outcome != Outcome::kServed) {
-      At(now_ + 1000, [this, n, life, e] { Tell(n, life, e); });
+      At(now_ + 1000, [this, n, life, e] { Post(n, life, e); });
       return;
     }
     const double wait = std::max(0.0, b.in_work + 1 - b.slots) * mean_job_ / b.slots;
     ++b.in_work;
     const Micros starts = now_ + 1000 + static_cast<Micros>(wait);
-    At(starts, [this, n, life, e] { Tell(n, life, Progress{e.request, e.attempt_number, true, 0.0}); });
+    At(starts, [this, n, life, e] { Post(n, life, Progress{e.request, e.attempt_number, true, 0.0}); });
     At(starts + static_cast<Micros>(work), [this, n, life, e, &b] {
       --b.in_work;
-      Tell(n, life, e);
+      Post(n, life, e);
     });
   }
 
-  // What it can do of its whole, on the mean over the window that ends then.
+  // What it can do of its full capacity, on the mean over the window that ends then.
   double Able(Micros end) const {
     const auto able = [this](double t) {
       return settings_.cold_share + (1.0 - settings_.cold_share) * std::max(0.0, t) / settings_.warm_after;
@@ -306,32 +309,32 @@
       if (!b.cold)
         continue;
       ++tally.workers;
-      const double whole = settings_.overload_factor * b.slots * settings_.fall / mean_job_;
-      double sent = 0.0, of_told = 0.0;
+      const double warm_calls = settings_.overload_factor * b.slots * settings_.fall / mean_job_;
+      double sent = 0.0, of_notified = 0.0;
       bool fell = false, down = false;
       for (std::size_t first = 0, last = 0; last < b.sent.size(); ++last) {
         const Sent& s = b.sent[last];
         sent += s.work;
-        of_told += s.told ? s.work : 0.0;
-        tally.sent += s.told ? s.work : 0.0;
+        of_notified += s.from_notified ? s.work : 0.0;
+        tally.sent += s.from_notified ? s.work : 0.0;
         for (; s.at - b.sent[first].at > settings_.fall; ++first) {
           sent -= b.sent[first].work;
-          of_told -= b.sent[first].told ? b.sent[first].work : 0.0;
+          of_notified -= b.sent[first].from_notified ? b.sent[first].work : 0.0;
         }
-        const double n = whole * Able(s.at);
+        const double n = warm_calls * Able(s.at);
         const double bound = n + 2.0 * std::sqrt(n) + 2.0;
         ++tally.windows;
         // A fall is put down to those who knew of the start where they alone sent too much, or over two
         // thirds of what made it fall first; it stays down from then on.
-        const bool theirs = of_told > bound || (!down && of_told > 2.0 / 3.0 * sent);
+        const bool theirs = of_notified > bound || (!down && of_notified > 2.0 / 3.0 * sent);
         down = down || sent > bound;
-        tally.worst = std::max(tally.worst, (theirs ? sent : of_told) / bound);
+        tally.worst = std::max(tally.worst, (theirs ? sent : of_notified) / bound);
         tally.over += theirs && sent > bound;
         fell = fell || (theirs && sent > bound);
       }
       tally.fell += fell;
       const double mean_share = (1.0 + settings_.cold_share) / 2.0;
-      tally.allowed += whole * mean_share * settings_.warm_after / settings_.fall;
+      tally.allowed += warm_calls * mean_share * settings_.warm_after / settings_.fall;
     }
     return tally;
   }
@@ -377,7 +380,7 @@
 TEST(ColdFleet, NoneFallsInSteadyTraffic) { NoneFalls(Case::kSteady, "steady"); }
 TEST(ColdFleet, NoneFallsInASurgeAfterAWindowWithoutJobs) { NoneFalls(Case::kSurge, "surge"); }
 TEST(ColdFleet, NoneFallsWhereAllNodesHaveJustBegun) { NoneFalls(Case::kRestarted, "restarted"); }
-TEST(ColdFleet, NoneFallsWhereTargetsTellLittleOfRunningTimes) { NoneFalls(Case::kMisled, "misled"); }
+TEST(ColdFleet, NoneFallsWhereTargetsSayLittleOfRunningTimes) { NoneFalls(Case::kMisled, "misled"); }
 
 // The least favourable: each node knows the workers and the jobs exactly, nobody has had a job for a window,
 // and then all have more than the worker may get.
--- a/tests/daemon/discovery_move_test.cpp
+++ b/tests/daemon/discovery_move_test.cpp
@@ -95,6 +95,15 @@
     daemon_->Signal(SIGHUP);
     REQUIRE(daemon_->WaitForLogLine("configuration_applied"));
   }
+  // SIGHUP with this text as the configuration. Discovery stays where it is and falls silent.
+  void ReloadInPlace(const std::string& config, const std::string& expected_line) {
+    daemon_->WriteConfig(config, nlohmann::json::object());
+    reloaded_at_ = Clock::now();
+    daemon_->Signal(SIGHUP);
+    REQUIRE(daemon_->WaitForLogLine(expected_line));
+  }
+  std::string config_text() const { return config_.dump(); }
+  bool HasLogged(const std::string& text) const { return daemon_->log().find(text) != std::string::npos; }
   // The watch that was open at the move brings no change, and is renewed.
   void AnswerWatchAtPreviousAddress() {
     REQUIRE(Send(watch_, ListAnswer(41, false, nlohmann::json::array())));
@@ -153,6 +162,7 @@
     if (watch_answers)
       scenario.AnswerWatchAtPreviousAddress();
     scenario.ClosePreviousAddress();
+    CHECK(scenario.HasLogged("endpoint_list_bound bound=reload"));
     // The list is in use until then...
     CHECK(scenario.SendJobs(scenario.reloaded_at() + kReloadNotificationBound / 2) > 0);
     // ...and discovery at the new address does not answer.
@@ -166,5 +176,21 @@
   }
 }
 
+TEST_CASE("a reload that moves nothing, or is rejected, ends the list as well unless discovery answers") {
+  for (const bool rejected : {false, true}) {
+    CAPTURE(rejected);
+    MovingDiscovery scenario("subscribe");
+    if (rejected)
+      scenario.ReloadInPlace("[]", "configuration_rejected");
+    else
+      scenario.ReloadInPlace(scenario.config_text(), "configuration_applied");
+    CHECK(scenario.SendJobs(scenario.reloaded_at() + kReloadNotificationBound / 2) > 0);
+    scenario.SendJobs(scenario.reloaded_at() + kObserved);
+    const Clock::time_point last_allowed =
+        scenario.reloaded_at() + kReloadNotificationBound + kDrainGrace + kSlack;
+    CHECK(scenario.staying.ArrivalsAfter(last_allowed) + scenario.draining.ArrivalsAfter(last_allowed) == 0);
+  }
+}
+
 }  // namespace
 }  // namespace aldersill::tests
--- a/tests/daemon/discovery_simulation.h
+++ b/tests/daemon/discovery_simulation.h
@@ -20,6 +20,7 @@
 namespace aldersill::tests {
 
 constexpr Micros kDrainGrace = 300 * kMillisecond;
+constexpr Micros kMaxPollInterval = 10 * kSecond;
 constexpr Micros kNetworkDelay = kMillisecond;
 constexpr Micros kSimulationEnd = 60 * kSecond;
 constexpr Micros kNever = WatchScheduler::kNever;
--- a/tests/daemon/random_core_run.h
+++ b/tests/daemon/random_core_run.h
@@ -224,9 +224,9 @@
     EndpointListUpdate update;
     update.form = form;
     update.source = source;
-    const bool whole =
+    const bool complete =
         form == EndpointListUpdate::Form::kSnapshot || form == EndpointListUpdate::Form::kCached;
-    const std::uint64_t count = whole ? random_.Below(6) : 1 + random_.Below(2);
+    const std::uint64_t count = complete ? random_.Below(6) : 1 + random_.Below(2);
     for (std::uint64_t worker = 0; worker < count; ++worker)
       update.workers.push_back(RandomWorker(source));
     Post(std::move(update));
--- a/tests/fleet/checker_test.cpp
+++ b/tests/fleet/checker_test.cpp
@@ -217,6 +217,45 @@
   CHECK(ViolationOfAttemptAt(9'801, {reachable(0, false), drains, back, reachable(3'000, true)}) == "");
 }
 
+TEST_CASE("after a reload that moves discovery a change counts 4 s later, until the new address announces") {
+  const Observation drains_before = At(1'000, Available(Kind::kWorkerChanged, false));
+  const Observation drains_after = At(3'000, Available(Kind::kWorkerChanged, false));
+  const auto reloaded = [](std::int64_t ms, int address) {
+    Observation seen = At(ms, Seen(Kind::kDispatcherReloaded));
+    seen.discovery_address = address;
+    return seen;
+  };
+  const auto announced = [](std::int64_t ms, int address) {
+    Observation seen = At(ms, Available(Kind::kWorkerAnnounced, true));
+    seen.discovery_address = address;
+    return seen;
+  };
+  const Observation moved = reloaded(2'000, 1);
+  CHECK(ViolationOfAttemptAt(6'800, {drains_before, moved}) == "");
+  CHECK(ViolationOfAttemptAt(6'801, {drains_before, moved}) == kSentToDraining);
+  CHECK(ViolationOfAttemptAt(6'801, {moved, drains_after}) == kSentToDraining);
+  // A further move does not begin the time anew, and neither does the previous address.
+  CHECK(ViolationOfAttemptAt(6'801, {moved, drains_after, reloaded(5'000, 2)}) == kSentToDraining);
+  CHECK(ViolationOfAttemptAt(6'801, {moved, announced(2'500, 0), drains_after}) == kSentToDraining);
+  // The new address does: from then on changes are announced there.
+  CHECK(ViolationOfAttemptAt(9'800, {moved, announced(2'500, 1), drains_after}) == "");
+  CHECK(ViolationOfAttemptAt(9'801, {moved, announced(2'500, 1), drains_after}) == kSentToDraining);
+}
+
+TEST_CASE("SIGKILL finds no request unanswered that was sent late after SIGTERM") {
+  const auto violation = [](std::int64_t sent_ms, bool terminated) {
+    Observations run = {Seen(Kind::kDispatcherStarted)};
+    if (terminated)
+      run.push_back(At(1'000, Seen(Kind::kDispatcherTerminated)));
+    run.push_back(At(sent_ms, Sent("a", "certificado", 9'000)));
+    run.push_back(At(4'700, Seen(Kind::kDispatcherKilled)));
+    return FirstViolation(run);
+  };
+  CHECK(violation(1'800, true) == "");  // 700 ms, and 100 ms of slack
+  CHECK(violation(1'801, true) == "found unanswered by SIGKILL, though sent late after SIGTERM: a");
+  CHECK(violation(1'801, false) == "");
+}
+
 // Requests whose clients left after a second: `forwarded` of them are first attempted `later_ms` after that,
 // the others never. The attempts end at once, and so are stopped in time.
 Observations Left(int forwarded, int not_forwarded, std::int64_t later_ms) {
--- a/tests/fleet/keep_alive_clients.cpp
+++ b/tests/fleet/keep_alive_clients.cpp
@@ -11,15 +11,12 @@
 using Kind = Observation::Kind;
 
 constexpr std::uint64_t kRandomStream = 3;
-constexpr int kClientTimeoutSeconds = 60;
-constexpr int kMinDeadlineMs = 400, kMaxDeadlineMs = 3'000;
 // One request in so many outlives a shutdown.
 constexpr std::uint32_t kOneIsLongOf = 6;
 constexpr int kLongDeadlineMs = 8'000;
 constexpr int kMaxPauseMs = 150;
 constexpr int kConnectRetryMs = 50;
 constexpr int kNone = -1;
-constexpr Micros kAnswerSlack = 58 * kMillisecond;
 
 }  // namespace
 
@@ -72,10 +69,7 @@
   client->previous_connection = std::move(client->connection);
   if (client->previous_connection != nullptr)
     evhttp_connection_set_closecb(client->previous_connection.get(), nullptr, nullptr);
-  client->connection.reset(evhttp_connection_base_new(context_.base, nullptr, "127.0.0.1",
-                                                      dispatchers_->http_port(client->dispatcher)));
-  evhttp_connection_set_retries(client->connection.get(), 0);
-  evhttp_connection_set_timeout(client->connection.get(), kClientTimeoutSeconds);
+  client->connection = NewClientConnection(context_.base, dispatchers_->http_port(client->dispatcher));
   evhttp_connection_set_closecb(client->connection.get(), &KeepAliveClients::OnClosed, client);
   client->kills_before = dispatchers_->kills(client->dispatcher);
   client->connection_open = true;
@@ -115,12 +109,9 @@
 }
 
 void KeepAliveClients::Answered(Client* client, evhttp_request* request, int status) {
-  evbuffer* body = evhttp_request_get_input_buffer(request);
-  std::string text(evbuffer_get_length(body), '\0');
-  evbuffer_copyout(body, text.data(), text.size());
   ++client->requests_on_connection;
   context_.recorder.Record(
-      {.kind = Kind::kAnswered, .request = client->id, .status = status, .text = std::move(text)});
+      {.kind = Kind::kAnswered, .request = client->id, .status = status, .text = BodyOf(request)});
   Finish(client);
 }
 
--- a/tests/fleet/service_clients.cpp
+++ b/tests/fleet/service_clients.cpp
@@ -13,10 +13,7 @@
 using Kind = Observation::Kind;
 
 constexpr std::uint64_t kRandomStream = 2;
-constexpr int kClientTimeoutSeconds = 60;
-constexpr int kMinDeadlineMs = 400, kMaxDeadlineMs = 3'000;
 constexpr std::uint32_t kOneLeavesOf = 12;
-constexpr Micros kAnswerSlack = 58 * kMillisecond;
 constexpr std::size_t kFloodBytes = std::size_t{256} * 1024;
 constexpr int kIdleMs = 200;  // for which connections are idle before SIGTERM
 constexpr int kTurnsBeforeTerm = 10;
@@ -65,10 +62,7 @@
   client->dispatcher = dispatcher;
   // The previous connection may be in its callback still, and must outlive it.
   client->previous_connection = std::move(client->connection);
-  client->connection.reset(
-      evhttp_connection_base_new(context_.base, nullptr, "127.0.0.1", dispatchers_->http_port(dispatcher)));
-  evhttp_connection_set_retries(client->connection.get(), 0);
-  evhttp_connection_set_timeout(client->connection.get(), kClientTimeoutSeconds);
+  client->connection = NewClientConnection(context_.base, dispatchers_->http_port(dispatcher));
 }
 
 void ServiceClients::SendAndWait(Client* client) {
@@ -176,14 +170,11 @@
 }
 
 void ServiceClients::Answered(Client* client, evhttp_request* request, int status) {
-  evbuffer* body = evhttp_request_get_input_buffer(request);
-  std::string text(evbuffer_get_length(body), '\0');
-  evbuffer_copyout(body, text.data(), text.size());
   client->finished = true;
   --waiting_;
   last_end_ = SteadyNow();
   context_.recorder.Record(
-      {.kind = Kind::kAnswered, .request = client->id, .status = status, .text = std::move(text)});
+      {.kind = Kind::kAnswered, .request = client->id, .status = status, .text = BodyOf(request)});
 }
 
 void ServiceClients::ConnectionLost(Client* client) {
--- a/tests/throttle_test.cpp
+++ b/tests/throttle_test.cpp
@@ -63,7 +63,7 @@
   EXPECT_EQ(Count<Send>(arrive(21)), 0);
 }
 
-TEST(Throttle, PaysAWideJobSlotBySlotAndRefusesItWhole) {
+TEST(Throttle, PaysAWideJobSlotBySlotAndRefusesItCompletely) {
   const Settings s = OneTokenASecond(14 * kSecond);
   const Micros token = FirstToken(s, 3);
   Driver d(s, 3);
@@ -154,7 +154,7 @@
 
 // Share of the jobs from `first` on that one node of 300 refuses, to which so many a second come; its workers
 // accept all or turn most away.
-double RefusedAtABusyNode(Settings s, double per_second, double turned_away, std::uint64_t seed, int first,
+double RefusedAtABusyNode(Settings s, double per_second, double rejected_share, std::uint64_t seed, int first,
                           int end) {
   s.nodes = 300;
   s.max_attempts = 1;
@@ -162,7 +162,7 @@
   d.List({Entry("w")});
   std::mt19937_64 random(seed);
   std::exponential_distribution<double> gap(per_second);
-  std::bernoulli_distribution turns_away(turned_away);
+  std::bernoulli_distribution turns_away(rejected_share);
   for (int id = 0; id < end; ++id) {
     d.Advance(d.now + static_cast<Micros>(gap(random) * kSecond));
     const auto actions = d.Arrive(id, "repeatable", 1000 * kSecond, 1, "only");
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -9,7 +9,7 @@
 namespace aldersill::simulator_adapter {
 namespace {
 
-const char kBirth[] =
+const char kBornLine[] =
     "nonce64=%\tdiscovery=automatic\tgrades.count=2\tgrades.0.name=safe\tgrades.0.repeat=retryable\t"
     "grades.0.target=150000\tgrades.0.deadline=5000000\tgrades.1.name=once\tgrades.1.repeat=fragile\t"
     "grades.1.target=200000\tgrades.1.deadline=7500000\tfamilyInfo.classKind=-1,0\tfamilyInfo.classStretch=2."
@@ -20,7 +20,7 @@
     "0";
 
 std::string Born(int who, int seed) {
-  std::string line = "born\twho=" + std::to_string(who) + "\t" + kBirth;
+  std::string line = "born\twho=" + std::to_string(who) + "\t" + kBornLine;
   line.replace(line.find('%'), 1, std::to_string(seed));
   return line + "\nannounce\twho=" + std::to_string(who) +
          "\tstamp=1\tform=2\thosts=2\nm\tstageState=1\tweight=1\texecutor=x1\tpod=0\tfamilyType=big\tarea=a\n"
@@ -83,7 +83,7 @@
   EXPECT_NE(run.out.find("forward\twho=3\treq=2"), std::string::npos);
 }
 
-TEST(Wire, TheTwoShedsAndTheTwoDroppedsAreToldApart) {
+TEST(Wire, TheTwoShedsAndTheTwoDroppedsAreDistinguished) {
   // As an outcome 'shed' proves that nothing ran: the job goes on. As an outcome 'dropped' it may have run,
   // and an unsafe job fails; as an event it means that the client left.
   const std::string start = Turn(1, Born(3, 7)) + Turn(2, Ingress(3, 1, "safe"));
@@ -144,7 +144,7 @@
   EXPECT_NE(run.out.find("broken\twho=3\tmessage=setting nodes"), std::string::npos) << run.out;
 }
 
-TEST(Wire, LongBatchesAreServedWhole) {
+TEST(Wire, LongBatchesAreServedCompletely) {
   std::string events;
   for (int i = 1; i <= 20'000; ++i)
     events += Ingress(3, i, "safe");
--- a/tests/worker_choice_test.cpp
+++ b/tests/worker_choice_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // A load report is older than the rejection that follows it, so the worker must not look idle because of it.
-TEST(WorkerChoice, AvoidsAWorkerThatRejectedThoughAnOlderReportSaidFree) {
+TEST(WorkerChoice, AvoidsAWorkerThatRejectedThoughAnOlderReportShowedItFree) {
   Settings s = BasicSettings();
   s.max_attempts = 1;
   std::map<std::string, int> sends;
@@ -39,18 +39,18 @@
     Settings s = BasicSettings();
     s.max_attempts = 1;
     Driver d(s, seed);
-    const auto hear = [&](const std::string& worker, double free, double waiting) {
+    const auto post_report = [&](const std::string& worker, double free, double waiting) {
       LoadReport report = ReportOfFreeSlots(free);
       report.waiting = waiting;
       d.Do(ProbeDone{worker, Outcome::kServed, 1000, report});
     };
     d.List({Entry("a")});
-    hear("a", 4.0, 0.0);
-    hear("a", 0.0, 20.0);
+    post_report("a", 4.0, 0.0);
+    post_report("a", 0.0, 20.0);
     d.Arrive(1, "unsafe");
     d.End(1, 0, Outcome::kFull);
     d.List({Entry("a"), Entry("b")});
-    hear("b", 0.0, 10.0);
+    post_report("b", 0.0, 10.0);
     const auto next = Only<Send>(d.Arrive(2, "unsafe"));
     ASSERT_EQ(next.size(), 1u);
     EXPECT_EQ(next[0].worker, "b");
@@ -58,7 +58,7 @@
 }
 
 // The load report that comes with a rejection is older than the rejection.
-TEST(WorkerChoice, RejectionOutweighsTheLoadReportThatCameWithIt) {
+TEST(WorkerChoice, RejectionOutweighsTheLoadReportInIt) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Settings s = BasicSettings();
     s.max_attempts = 1;
