Let the soak's requests arrive late in a shutdown; plant the two faults that it must find

Change: clients that begin a request around SIGTERM and complete it up to 2.2 s later (slow_clients), and workers that hang through half of the shutdowns.

--- a/src/http/drain_schedule.cpp
+++ b/src/http/drain_schedule.cpp
@@ -7,7 +7,11 @@
 
 // SIGKILL comes no sooner than kKillDelay and the longest deadline, which counts as kMaxCountedDeadline at
 // most, after SIGTERM.
+#ifdef ALDERSILL_PLANT_LATE_DRAIN  // planted where a search must find it
+constexpr Micros kKillDelay = 3'700 * kMillisecond;
+#else
 constexpr Micros kKillDelay = 700 * kMillisecond;
+#endif
 constexpr Micros kMaxCountedDeadline = 3 * kSecond;
 // For the way to the client, and because the signal and the request may both have waited for the event loop.
 constexpr Micros kKillMargin = 200 * kMillisecond;
--- a/src/http/watch_scheduler.cpp
+++ b/src/http/watch_scheduler.cpp
@@ -42,6 +42,9 @@
 }
 
 void WatchScheduler::LimitByReload(Micros reloaded_at) {
+#ifdef ALDERSILL_PLANT_RELOAD_UNBOUNDED  // planted where a search must find it
+  return;
+#endif
   reload_bound_ = std::min(reload_bound_, reloaded_at + kReloadNotificationBound - kMaxSignalDelay);
 }
 
--- a/tests/fleet/fault_injector.cpp
+++ b/tests/fleet/fault_injector.cpp
@@ -172,6 +172,8 @@
     targets_.clients->LeaveAll(fault.dispatcher, departure);
   } else if (fault.kind == FaultKind::kRequestsDuringShutdown) {
     targets_.clients->SendDuringShutdown(fault.dispatcher, fault.amount, fault.for_ms);
+  } else if (fault.kind == FaultKind::kSlowRequests) {
+    targets_.slow_clients->Add(fault.dispatcher, fault.amount, fault.for_ms);
   } else {
     targets_.idle_clients->Add(fault.dispatcher, fault.amount, fault.for_ms);
   }
--- a/tests/fleet/fault_injector.h
+++ b/tests/fleet/fault_injector.h
@@ -11,6 +11,7 @@
 #include "fleet/idle_clients.h"
 #include "fleet/run_context.h"
 #include "fleet/service_clients.h"
+#include "fleet/slow_clients.h"
 #include "fleet/worker_links.h"
 #include "fleet/worker_stand_ins.h"
 
@@ -26,6 +27,7 @@
     Dispatchers* dispatchers = nullptr;
     ServiceClients* clients = nullptr;
     IdleClients* idle_clients = nullptr;
+    SlowClients* slow_clients = nullptr;
   };
   FaultInjector(const RunContext& context, const Targets& targets) : context_(context), targets_(targets) {}
 
--- a/tests/fleet/fleet_run.cpp
+++ b/tests/fleet/fleet_run.cpp
@@ -15,6 +15,7 @@
 #include "fleet/run_context.h"
 #include "fleet/scheduler.h"
 #include "fleet/service_clients.h"
+#include "fleet/slow_clients.h"
 #include "fleet/worker_links.h"
 #include "fleet/worker_stand_ins.h"
 #include "net/event_ptr.h"
@@ -46,13 +47,15 @@
         clients_(context_, &dispatchers_),
         keep_alive_clients_(context_, &dispatchers_),
         idle_clients_(context_, &dispatchers_),
+        slow_clients_(context_, &dispatchers_),
         faults_(context_, {.workers = &workers_,
                            .links = &links_,
                            .discovery = &discovery_,
                            .cluster = cluster_.get(),
                            .dispatchers = &dispatchers_,
                            .clients = &clients_,
-                           .idle_clients = &idle_clients_}),
+                           .idle_clients = &idle_clients_,
+                           .slow_clients = &slow_clients_}),
         tick_(base_.get(), [this] { Tick(); }) {}
 
   RunResult Run() {
@@ -119,10 +122,11 @@
   bool NothingIsPending() const {
     const bool all_sent = SteadyNow() - started_ >= (table_.length_ms + kMarginMs) * kMillisecond;
     // An attempt that is never stopped must not keep the run going.
-    const Micros last_end = std::max(clients_.last_end(), keep_alive_clients_.last_end());
+    const Micros last_end =
+        std::max({clients_.last_end(), keep_alive_clients_.last_end(), slow_clients_.last_end()});
     const bool stop_overdue = SteadyNow() - last_end > 2 * deployment_.rules.slack;
     return all_sent && dispatchers_.AllUp() && dispatchers_.AllRestartsFinished() &&
-           clients_.waiting() == 0 && keep_alive_clients_.waiting() == 0 &&
+           clients_.waiting() == 0 && keep_alive_clients_.waiting() == 0 && slow_clients_.waiting() == 0 &&
            (!links_.HasOpenAttempt() || stop_overdue);
   }
 
@@ -155,6 +159,7 @@
   ServiceClients clients_;
   KeepAliveClients keep_alive_clients_;
   IdleClients idle_clients_;
+  SlowClients slow_clients_;
   FaultInjector faults_;
   Timer tick_;
   const Micros started_ = SteadyNow();
--- a/tests/fleet/job_request.cpp
+++ b/tests/fleet/job_request.cpp
@@ -1,11 +1,32 @@
 #include "fleet/job_request.h"
 
+#include <utility>
+#include <vector>
+
 namespace aldersill::fleet {
 namespace {
 
 constexpr int kClientTimeoutSeconds = 60;
 constexpr int kCostPerMeanMs = 500;  // of the sum of the shortest and the longest time
 
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+Headers HeadersOf(const Deployment& deployment, const JobRequest& job) {
+  Headers headers = {{"Host", "origin.svc"},
+                     {"Req-Id", job.id},
+                     {"Req-Kind", job.job_class.name},
+                     {"Req-Owner", job.tenant},
+                     {"Req-Deadline", std::to_string(job.deadline_ms) + "m"}};
+  if (job.job_class.has_idempotency_key)
+    headers.emplace_back("Idempotency-Key", job.id);
+  if (!deployment.clients_report_cost)
+    return headers;
+  const int cost = (job.job_class.min_ms + job.job_class.max_ms) * kCostPerMeanMs;
+  headers.emplace_back("Req-Cost", std::to_string(cost));
+  headers.emplace_back("Req-Extra", "slots=1,memory=0.6");
+  return headers;
+}
+
 }  // namespace
 
 EventPtr<evhttp_connection> NewClientConnection(event_base* base, std::uint16_t port) {
@@ -24,18 +45,15 @@
 
 void AddJobHeaders(evhttp_request* request, const Deployment& deployment, const JobRequest& job) {
   auto* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", "origin.svc");
-  evhttp_add_header(headers, "Req-Id", job.id.c_str());
-  evhttp_add_header(headers, "Req-Kind", job.job_class.name.c_str());
-  evhttp_add_header(headers, "Req-Owner", job.tenant.c_str());
-  evhttp_add_header(headers, "Req-Deadline", (std::to_string(job.deadline_ms) + "m").c_str());
-  if (job.job_class.has_idempotency_key)
-    evhttp_add_header(headers, "Idempotency-Key", job.id.c_str());
-  if (!deployment.clients_report_cost)
-    return;
-  const int cost = (job.job_class.min_ms + job.job_class.max_ms) * kCostPerMeanMs;
-  evhttp_add_header(headers, "Req-Cost", std::to_string(cost).c_str());
-  evhttp_add_header(headers, "Req-Extra", "slots=1,memory=0.6");
+  for (const auto& [name, value] : HeadersOf(deployment, job))
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+}
+
+std::string JobRequestText(const Deployment& deployment, const JobRequest& job) {
+  std::string text = "POST /" + job.job_class.name + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : HeadersOf(deployment, job))
+    text += name + ": " + value + "\r\n";
+  return text + "Content-Length: 0\r\n\r\n";
 }
 
 }  // namespace aldersill::fleet
--- a/tests/fleet/job_request.h
+++ b/tests/fleet/job_request.h
@@ -29,6 +29,8 @@
 EventPtr<evhttp_connection> NewClientConnection(event_base* base, std::uint16_t port);
 // The body of a response.
 std::string BodyOf(evhttp_request* response);
+// The complete request, without a body, for clients that send it in pieces.
+std::string JobRequestText(const Deployment& deployment, const JobRequest& job);
 void AddJobHeaders(evhttp_request* request, const Deployment& deployment, const JobRequest& job);
 
 }  // namespace aldersill::fleet
--- a/tests/fleet/soak_timetable.cpp
+++ b/tests/fleet/soak_timetable.cpp
@@ -14,7 +14,10 @@
 constexpr int kKeepAliveClients = 32;
 constexpr int kCrowdPerDispatcher = 60;
 constexpr int kPreviousAddressMs = 1'500;  // for which calls at the previous address stay open
-constexpr int kLastMoveMs = 9'000;         // so that its bounds end within the run
+constexpr int kSlowRequests = 24, kSlowRequestsBeforeMs = 1'000;
+constexpr int kNewConnectionsMs = 300;  // after SIGTERM
+constexpr int kHangAfterMs = 500, kHangThroughShutdownMs = 3'500;
+constexpr int kLastMoveMs = 9'000;  // so that its bounds end within the run
 constexpr std::array<int, 5> kFleetSizes = {3, 100, 178, 198, 300};
 // What becomes of a dispatcher's calls at its new address.
 constexpr std::array<FaultKind, 4> kNewAddressFaults = {
@@ -83,12 +86,23 @@
            .for_ms = 2 * kLengthMs});
   }
 
-  // One dispatcher after another, as far as the time goes, some with a reload in the middle of their
-  // shutdown.
+  // One dispatcher after another, as far as the time goes. Around each SIGTERM clients begin requests that
+  // they complete during the shutdown, and in half of the shutdowns a worker hangs to the end.
   void AddRestarts() {
     int dispatcher = Between(0, kDispatchers - 1);
-    for (int at_ms = Between(1'000, 3'000); at_ms < kLengthMs - 4'500; at_ms += Between(700, 2'000)) {
+    for (int at_ms = Between(1'200, 3'000); at_ms < kLengthMs - 4'500; at_ms += Between(700, 2'000)) {
       Add({.at_ms = at_ms, .kind = FaultKind::kRestart, .dispatcher = dispatcher, .worker = kAllWorkers});
+      Add({.at_ms = at_ms - kSlowRequestsBeforeMs,
+           .kind = FaultKind::kSlowRequests,
+           .dispatcher = dispatcher,
+           .worker = kAllWorkers,
+           .for_ms = kSlowRequestsBeforeMs + kNewConnectionsMs,
+           .amount = kSlowRequests});
+      if (Between(0, 1) == 0)
+        Add({.at_ms = at_ms + kHangAfterMs,
+             .kind = FaultKind::kHang,
+             .worker = Between(kWorkers / 2, kWorkers - 1),
+             .for_ms = kHangThroughShutdownMs});
       dispatcher = (dispatcher + 1) % kDispatchers;
     }
   }
--- a/tests/fleet/timetable.cpp
+++ b/tests/fleet/timetable.cpp
@@ -285,6 +285,7 @@
     case FaultKind::kClientsLeave:
     case FaultKind::kRequestsDuringShutdown:
     case FaultKind::kIdleClients:
+    case FaultKind::kSlowRequests:
       return FaultGroup::kClient;
     default:
       return kind >= FaultKind::kUdpCut ? FaultGroup::kDatagram : FaultGroup::kDiscovery;
--- a/tests/fleet/timetable.h
+++ b/tests/fleet/timetable.h
@@ -51,10 +51,12 @@
   kRequestsDuringShutdown,  // `amount` clients have idle connections; then SIGTERM, and in that moment and
                             // for `for_ms` they send requests, and retry elsewhere where they get no byte of
                             // an answer
-  kIdleClients,  // `amount` clients connect and send nothing, or half a head, and connect again when
-                 // they are closed
-  kRestart,      // SIGTERM, SIGKILL at the earliest time that the platform allows, and a new process
-  kReload,       // SIGHUP with nothing changed
+  kIdleClients,   // `amount` clients connect and send nothing, or half a head, and connect again when
+                  // they are closed
+  kRestart,       // SIGTERM, SIGKILL at the earliest time that the platform allows, and a new process
+  kReload,        // SIGHUP with nothing changed
+  kSlowRequests,  // `amount` clients connect to the dispatcher within `for_ms`, and complete their requests
+                  // up to 2.2 s later
   // Of the datagrams from the dispatcher to a peer, `worker` in Fault, for `for_ms`:
   kUdpCut,              // none passes
   kUdpLoss,             // `amount` percent are lost
--- a/tests/fleet/timetable_yaml.cpp
+++ b/tests/fleet/timetable_yaml.cpp
@@ -18,7 +18,7 @@
 constexpr int kMaxFaultNumber = 60'000;  // of for_ms, of amount
 
 // In the order of FaultKind.
-constexpr std::array<const char*, 28> kKindWords = {"kill",
+constexpr std::array<const char*, 29> kKindWords = {"kill",
                                                     "terminate",
                                                     "pause",
                                                     "cut_there",
@@ -40,6 +40,7 @@
                                                     "idle_clients",
                                                     "restart",
                                                     "reload",
+                                                    "slow_requests",
                                                     "udp_cut",
                                                     "udp_thin",
                                                     "udp_delay",
