--- a/review/support/harness.cpp
+++ b/review/support/harness.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -98,6 +99,7 @@
   if (pid_ < 0)
     throw std::runtime_error("cannot fork");
   if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // the dispatcher ends with the case, also when that is killed
     for (const auto& [variable, value] : variables)
       setenv(variable.c_str(), value.c_str(), 1);
     const int log = open(log_path_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
