Refuse the id of an open job at both frontends

Callers saw: with both frontends on, a client that posted a cobro over HTTP was answered with the result of a job that another client had pushed over Faktory under the same id, before its own job was done; the other way round the pushing client got +OK early and the posting one a foreign result.

Cause: RecentRequestIds knew the ids of HTTP requests, IdempotencyTracker those of Faktory jobs, and a request was looked up in one of the two. A Faktory worker names a job by its id alone, over any of its connections, so the ACK of one job ended the attempt of the other.

JobIdRegistry now owns all ids. An open id is refused to both kinds of requests; it is also open for a job that another process has transferred to this one, and stays open in the process that it left. An abandoned attempt of an HTTP job delays a push with its id, and an id that ends repeatedly is queued once.

Evidence: two_frontends_test fails with the program before (both cases: the push is not refused, the post gets 503 for 409) and passes now; core_job_ids_test tests the reducer alone.

--- a/src/core/attempt_controller.cpp
+++ b/src/core/attempt_controller.cpp
@@ -130,7 +130,7 @@
   const auto found = abandoned_attempts_.find(ended.attempt);
   if (found == abandoned_attempts_.end())
     return;
-  env_.idempotency.MarkAbandonedEnded(found->second);
+  env_.job_ids.MarkAbandonedEnded(found->second);
   abandoned_attempts_.erase(found);
 }
 
@@ -236,9 +236,7 @@
 }
 
 void AttemptController::MarkAbandoned(AttemptId id, const Job& job) {
-  if (!job.has_idempotent_id)
-    return;
-  env_.idempotency.MarkAbandoned(job.id);
+  env_.job_ids.MarkAbandoned(job.id);
   abandoned_attempts_.emplace(id, job.id);
 }
 
@@ -255,7 +253,7 @@
     env_.requests.Answer(
         attempt.request,
         AnswerToReceivedJob(request, job_class == nullptr ? dispatch::ClassSettings{} : job_class->settings,
-                            ending.outcome, env_.context));
+                            env_.context));
   }
 }
 
@@ -297,8 +295,9 @@
   request = env_.requests.Find(id);  // EndUnsent() may have removed it
   if (request == nullptr || request->open_attempts > 0)
     return;
-  if (request->job->has_idempotent_id)
-    env_.idempotency.MarkEnded(request->job->id, request->first_run_at);
+  // A transferred job continues in another process, so its id stays open here until this process exits.
+  if (!request->transferred)
+    env_.job_ids.Close(*request->job, request->first_run_at);
   if (request->dispatcher)
     env_.dispatchers.ReleaseRequest(*request->dispatcher);
   env_.requests.Erase(id);
--- a/src/core/attempt_controller.h
+++ b/src/core/attempt_controller.h
@@ -12,8 +12,8 @@
 #include "core/dispatcher_instances.h"
 #include "core/endpoint_table.h"
 #include "core/events.h"
-#include "core/idempotency_tracker.h"
 #include "core/job_classes.h"
+#include "core/job_id_registry.h"
 #include "core/reduction_context.h"
 #include "core/request_table.h"
 
@@ -43,7 +43,7 @@
     DispatcherInstances& dispatchers;
     EndpointTable& endpoints;
     RequestTable& requests;
-    IdempotencyTracker& idempotency;
+    JobIdRegistry& job_ids;
   };
   explicit AttemptController(const Environment& environment) : env_(environment) {}
 
@@ -96,7 +96,7 @@
   void End(AttemptId id, Ending ending);
   void EmitEnd(AttemptId id, const Attempt& attempt, const Ending& ending);
   // Records that an attempt was given up after a worker's session fetched it. The session cannot be told to
-  // stop and continues the attempt. Does nothing if the job's id is not idempotent.
+  // stop and continues the attempt.
   void MarkAbandoned(AttemptId id, const Job& job);
   void AnswerRequest(const Attempt& attempt, Request& request, Ending& ending);
   void EndUnsent(const std::vector<AttemptId>& attempts, StopAttempt::Reason reason);
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -13,8 +13,8 @@
 #include "core/counters.h"
 #include "core/dispatcher_instances.h"
 #include "core/endpoint_table.h"
-#include "core/idempotency_tracker.h"
 #include "core/job_classes.h"
+#include "core/job_id_registry.h"
 #include "core/reduction_context.h"
 #include "core/request_lifecycle.h"
 #include "core/request_table.h"
@@ -96,19 +96,19 @@
             .dispatchers = dispatchers_,
             .endpoints = endpoints_,
             .requests = requests_,
-            .idempotency = idempotency_};
+            .job_ids = job_ids_};
   }
 
   ReductionContext context_;
   JobClasses classes_;
   BanList bans_;
-  IdempotencyTracker idempotency_;
+  JobIdRegistry job_ids_;
   DispatcherInstances dispatchers_;
   EndpointTable endpoints_{context_, bans_, dispatchers_};
   RequestTable requests_{context_};
   AttemptController attempts_{environment()};
   RequestLifecycle lifecycle_{environment(), attempts_};
-  RequestTransfer transfer_{context_, classes_, dispatchers_, requests_, attempts_};
+  RequestTransfer transfer_{environment(), attempts_};
 };
 
 }  // namespace aldersill
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -20,19 +20,12 @@
     return env_.context.Emit(Answer{.client = received.client, .answer = Failure{}});
   ClassCounters& counters = env_.context.counters.classes[job_class->counter];
   ++counters.received;
-  const Verdict verdict = CheckRepeat(received.job, job_class->settings);
+  const Verdict verdict = env_.job_ids.Check(received.job, job_class->settings, env_.context.now);
   if (verdict != Verdict::kAdmit)
     return AnswerRepeat(received, verdict, counters);
   Admit(std::move(received), *job_class);
 }
 
-RequestLifecycle::Verdict RequestLifecycle::CheckRepeat(const Job& job,
-                                                        const dispatch::ClassSettings& job_class) {
-  if (job.has_idempotent_id)
-    return env_.idempotency.Check(job.id, job_class, env_.context.now);
-  return job.id.empty() || recent_ids_.Insert(job.id) ? Verdict::kAdmit : Verdict::kReject;
-}
-
 void RequestLifecycle::AnswerRepeat(const RequestReceived& received, Verdict verdict,
                                     ClassCounters& counters) {
   ++env_.context.counters.repeats_rejected;
@@ -63,11 +56,8 @@
   // No request waits longer than its class allows, whatever time the client gives: it would use capacity that
   // other requests need.
   request.deadline = now + std::min(job.time_left, job_class.settings.deadline) - margin;
-  request.start_by = IdempotencyTracker::kNoLimit;
-  if (job.has_idempotent_id) {
-    request.start_by = env_.idempotency.LatestStart(job.id, job_class.settings);
-    env_.idempotency.MarkInProgress(job.id);
-  }
+  request.start_by = env_.job_ids.LatestStart(job, job_class.settings);
+  env_.job_ids.Open(job);
   request.job = std::make_shared<const Job>(std::move(job));
   const std::shared_ptr<const Job> admitted = request.job;
   const DispatcherGeneration dispatcher = *request.dispatcher;
--- a/src/core/request_lifecycle.h
+++ b/src/core/request_lifecycle.h
@@ -5,8 +5,8 @@
 #include "core/attempt_controller.h"
 #include "core/dispatcher_instances.h"
 #include "core/events.h"
-#include "core/idempotency_tracker.h"
 #include "core/job_classes.h"
+#include "core/job_id_registry.h"
 #include "core/reduction_context.h"
 #include "core/request_table.h"
 
@@ -26,16 +26,13 @@
   void Fail(const dispatch::Fail& failure);
 
  private:
-  using Verdict = IdempotencyTracker::Verdict;
+  using Verdict = JobIdRegistry::Verdict;
 
-  // Decides whether a request with a known id may be admitted.
-  Verdict CheckRepeat(const Job& job, const dispatch::ClassSettings& job_class);
   void AnswerRepeat(const RequestReceived& received, Verdict verdict, ClassCounters& counters);
   void Admit(RequestReceived&& received, const JobClasses::JobClass& job_class);
 
   AttemptController::Environment env_;
   AttemptController& attempts_;
-  RecentRequestIds recent_ids_;
 };
 
 }  // namespace aldersill
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -23,12 +23,12 @@
   // Empty for a job from another process, which is not retried.
   std::optional<DispatcherGeneration> dispatcher;
   std::size_t class_counter = 0;  // index into Counters::classes
-  bool may_have_run = false;      // whether the job may have run in another process before
   Micros received_at = 0;
   Micros deadline = 0;
-  Micros start_by = 0;      // latest start of a repeat: end of the window that began with the first run
-  Micros first_run_at = 0;  // when the first attempt that may have run was sent; 0 if there is none
-  bool answered = false;    // the request needs no answer from this process any longer
+  Micros start_by = 0;       // latest start of a repeat: end of the window that began with the first run
+  Micros first_run_at = 0;   // when the first attempt that may have run was sent; 0 if there is none
+  bool answered = false;     // the request needs no answer from this process any longer
+  bool transferred = false;  // another process has taken over the job and answers its client
   std::vector<AttemptId> attempts;  // indexed by the decision module's attempt number
   int open_attempts = 0;
 };
--- a/src/core/request_transfer.cpp
+++ b/src/core/request_transfer.cpp
@@ -3,18 +3,20 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/attempt_controller.h"
-#include "core/dispatcher_instances.h"
-#include "core/outcome.h"
-
 namespace aldersill {
+namespace {
+
+// Stands for a first run in another process, whose time is unknown: no window for repeats is left.
+constexpr Micros kLongAgo = 1;
+
+}  // namespace
 
 FinalAnswer AnswerToReceivedJob(const Request& request, const dispatch::ClassSettings& job_class,
-                                Outcome outcome, const ReductionContext& context) {
+                                const ReductionContext& context) {
   const bool repeats_dropped_everywhere =
       job_class.repeat == dispatch::Repeat::kKeyed && job_class.scope == dispatch::KeyScope::kAll;
   const bool repeatable = job_class.repeat == dispatch::Repeat::kRepeatable || repeats_dropped_everywhere;
-  if (repeatable || (!MayHaveRun(outcome) && !request.may_have_run))
+  if (repeatable || request.first_run_at == 0)
     return Rejection{.reason = Rejection::Reason::kAfterAttempts,
                      .retry_after = context.settings.dispatcher.max_retry_after};
   const bool late = context.now >= request.deadline;
@@ -23,10 +25,10 @@
 
 std::vector<InFlightJob> RequestTransfer::InFlightJobs() const {
   std::vector<InFlightJob> jobs;
-  for (const auto& [client, id] : requests_.waiting()) {
+  for (const auto& [client, id] : env_.requests.waiting()) {
     if (client.frontend != ClientRef::Frontend::kHttp)
       continue;
-    if (auto job = ToInFlightJob(requests_.At(id)))
+    if (auto job = ToInFlightJob(env_.requests.At(id)))
       jobs.push_back(std::move(*job));
   }
   return jobs;
@@ -37,8 +39,8 @@
     return std::nullopt;
   InFlightJob job{.client = request.client,
                   .job = request.job,
-                  .time_left = request.deadline - context_.now,
-                  .may_have_run = request.first_run_at != 0 || request.may_have_run,
+                  .time_left = request.deadline - env_.context.now,
+                  .may_have_run = request.first_run_at != 0,
                   .running = std::nullopt,
                   .worker = ""};
   if (request.open_attempts == 0) {
@@ -56,17 +58,18 @@
 }
 
 void RequestTransfer::Apply(const JobTransferred& transferred) {
-  const auto id = requests_.FindWaiting(transferred.client);
+  const auto id = env_.requests.FindWaiting(transferred.client);
   if (!id)
     return;
-  Request& request = requests_.At(*id);
-  requests_.StopWaiting(request);
-  dispatchers_.PostIfAssigned(request.dispatcher, dispatch::ClientGone{.request = *id});
+  Request& request = env_.requests.At(*id);
+  env_.requests.StopWaiting(request);
+  request.transferred = true;
+  env_.dispatchers.PostIfAssigned(request.dispatcher, dispatch::ClientGone{.request = *id});
   for (const AttemptId attempt : request.attempts) {
     if (!attempts_.RemoveTransferred(attempt))
       continue;
     --request.open_attempts;
-    dispatchers_.PostIfAssigned(
+    env_.dispatchers.PostIfAssigned(
         request.dispatcher,
         dispatch::AttemptEnded{.request = *id,
                                .attempt_number = static_cast<int>(request.attempts.size()) - 1,
@@ -79,21 +82,24 @@
 }
 
 void RequestTransfer::Apply(JobReceived&& received) {
-  const JobClasses::JobClass* job_class = classes_.Find(received.job.job_class);
+  const JobClasses::JobClass* job_class = env_.classes.Find(received.job.job_class);
   if (job_class == nullptr)
-    return context_.Emit(Answer{.client = received.client, .answer = Failure{}});
-  ++context_.counters.classes[job_class->counter].received;
+    return env_.context.Emit(Answer{.client = received.client, .answer = Failure{}});
+  ++env_.context.counters.classes[job_class->counter].received;
   Request request;
   request.client = received.client;
   request.class_counter = job_class->counter;
-  request.may_have_run = received.may_have_run;
-  request.received_at = context_.now;
-  request.deadline = context_.now + std::max<Micros>(1, received.job.time_left);
+  request.received_at = env_.context.now;
+  request.deadline = env_.context.now + std::max<Micros>(1, received.job.time_left);
+  if (received.may_have_run)
+    request.first_run_at = kLongAgo;
+  env_.job_ids.Open(received.job);
   request.job = std::make_shared<const Job>(std::move(received.job));
   const std::shared_ptr<const Job> job = request.job;
-  const dispatch::RequestId id = requests_.Add(std::move(request));
+  const dispatch::RequestId id = env_.requests.Add(std::move(request));
   const AttemptId attempt = attempts_.AddReceived(id, std::move(received.worker));
-  context_.Emit(ResumeAttempt{.attempt = attempt, .job = job, .transfer_number = received.transfer_number});
+  env_.context.Emit(
+      ResumeAttempt{.attempt = attempt, .job = job, .transfer_number = received.transfer_number});
 }
 
 }  // namespace aldersill
