Limit late jobs in a drain in one place, whichever frontend took them

Cause: DrainSchedule, which knows when SIGKILL may come, belonged to the HTTP frontend, and only that one limited the time of its late requests. The Faktory frontend passed jobs on with their full deadline, and so did the core for a job that another process transfers to one that drains itself.

The reducer now owns the schedule, told by the event DrainStarted, and limits or rejects each late job, from either frontend or another process. Frontends and daemon read the schedule through DrainStatus and keep no start of the drain of their own. A session that is accepted when all answers are due is closed as soon as it is idle.

--- a/src/core/attempt_controller.h
+++ b/src/core/attempt_controller.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/dispatcher_instances.h"
+#include "core/drain_schedule.h"
 #include "core/endpoint_table.h"
 #include "core/events.h"
 #include "core/job_classes.h"
@@ -44,6 +45,7 @@
     EndpointTable& endpoints;
     RequestTable& requests;
     JobIdRegistry& job_ids;
+    const DrainSchedule& drain;
   };
   explicit AttemptController(const Environment& environment) : env_(environment) {}
 
--- a/src/http/drain_schedule.cpp
+++ b/src/core/drain_schedule.cpp
@@ -1,4 +1,4 @@
-#include "http/drain_schedule.h"
+#include "core/drain_schedule.h"
 
 #include <algorithm>
 
@@ -19,17 +19,32 @@
 // A request that is complete sooner after SIGTERM is not late: its own deadline, up to kMaxCountedDeadline,
 // ends before SIGKILL.
 constexpr Micros kLateRequestThreshold = 600 * kMillisecond;
+// A late job is not started if the time left is less than this and less than half of the time that the job
+// has by its deadline.
+constexpr Micros kMinTimeForLateRequest = 500 * kMillisecond;
 
 }  // namespace
 
-Micros DrainSchedule::answers_due_at() const {
-  return started_at_ + kKillDelay + std::min(longest_deadline_, kMaxCountedDeadline) - kKillMargin;
+void DrainSchedule::Start(Micros now) {
+  if (!draining())
+    started_at_ = now;
 }
 
-std::optional<Micros> DrainSchedule::TimeLeftForLateRequest(Micros now) const {
+bool DrainSchedule::AnswersDue(Micros now) const { return draining() && now >= AnswersDueAt(); }
+
+Micros DrainSchedule::LimitTime(Micros now, Micros time_left) const {
   if (!draining() || now - started_at_ < kLateRequestThreshold)
-    return std::nullopt;
-  return std::max<Micros>(0, answers_due_at() - now);
+    return time_left;
+  return std::min(time_left, std::max<Micros>(0, AnswersDueAt() - now));
+}
+
+bool DrainSchedule::TooLateToStart(Micros now, Micros time_left) const {
+  const Micros limited = LimitTime(now, time_left);
+  return limited < kMinTimeForLateRequest && limited < time_left / 2;
+}
+
+Micros DrainSchedule::AnswersDueAt() const {
+  return started_at_ + kKillDelay + std::min(longest_deadline_, kMaxCountedDeadline) - kKillMargin;
 }
 
 }  // namespace aldersill
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -68,6 +68,7 @@
     kNoWorker,                 // no worker is ready
     kAfterAttempts,            // the job cannot have run in the attempts so far, or may be repeated
     kAbandonedAttemptRunning,  // an abandoned attempt of the same id has not ended
+    kDraining,                 // too little time is left before this process exits
   } reason = Reason::kNothingSent;
   Micros retry_after = 0;
 };
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -33,6 +33,9 @@
   bool banned = true;  // false if the ban was lifted
 };
 
+// This process has been told to exit: a graceful shutdown begins.
+struct DrainStarted {};
+
 // ---- Requests ----
 
 struct RequestReceived {
@@ -130,10 +133,11 @@
   LoadReport report;
 };
 
-using Event = std::variant<RequestReceived, JobTransferred, JobReceived, RequestRejectedByFrontend,
-                           ClientLeft, AttemptConnected, AttemptSent, AttemptProgress, AttemptEnded,
-                           AbandonedAttemptEnded, TimerDue, EndpointListUpdate, EndpointListWatchFailed,
-                           EndpointListLease, ProbeCompleted, SettingsChanged, SettingsRefused, WorkerBanned>;
+using Event =
+    std::variant<RequestReceived, JobTransferred, JobReceived, RequestRejectedByFrontend, ClientLeft,
+                 AttemptConnected, AttemptSent, AttemptProgress, AttemptEnded, AbandonedAttemptEnded,
+                 TimerDue, EndpointListUpdate, EndpointListWatchFailed, EndpointListLease, ProbeCompleted,
+                 SettingsChanged, SettingsRefused, WorkerBanned, DrainStarted>;
 
 // Accepts events. Frontends and transports post to this interface, so that they depend neither on the reducer
 // nor on one another.
--- a/src/core/job_classes.cpp
+++ b/src/core/job_classes.cpp
@@ -21,4 +21,11 @@
   return found == classes_.end() ? nullptr : &found->second;
 }
 
+Micros JobClasses::LongestDeadline() const {
+  Micros longest = 0;
+  for (const auto& [name, job_class] : classes_)
+    longest = std::max(longest, job_class.settings.deadline);
+  return longest;
+}
+
 }  // namespace aldersill
--- a/src/core/job_classes.h
+++ b/src/core/job_classes.h
@@ -9,6 +9,7 @@
 
 #include "aldersill/dispatch/dispatcher.h"
 #include "core/counters.h"
+#include "core/micros.h"
 
 namespace aldersill {
 
@@ -25,6 +26,8 @@
 
   // Returns null for an unknown name. The pointer is valid until the next Load().
   const JobClass* Find(const std::string& name) const;
+  // Returns 0 if there are no classes.
+  Micros LongestDeadline() const;
 
  private:
   std::unordered_map<std::string, JobClass> classes_;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -14,6 +14,7 @@
   if (needs_instance)
     dispatchers_.Add(context_.settings.dispatcher, context_.settings.seed);
   classes_.Load(context_.settings.dispatcher.classes, &context_.counters.classes);
+  drain_.set_longest_deadline(classes_.LongestDeadline());
 }
 
 void Reducer::Reduce(Micros now, Event event, std::vector<Effect>* effects) {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -12,6 +12,7 @@
 #include "core/ban_list.h"
 #include "core/counters.h"
 #include "core/dispatcher_instances.h"
+#include "core/drain_schedule.h"
 #include "core/endpoint_table.h"
 #include "core/job_classes.h"
 #include "core/job_id_registry.h"
@@ -50,6 +51,7 @@
   std::size_t AvoidedWorkers() const;
   // Returns the jobs that may be transferred to another process; see RequestTransfer.
   std::vector<InFlightJob> InFlightJobs() const { return transfer_.InFlightJobs(); }
+  const DrainSchedule& drain() const { return drain_; }
   const std::set<std::string>& banned() const { return bans_.workers(); }
   // Returns whether the endpoint list has not expired and discovery, if configured, has sent it to this
   // process.
@@ -79,6 +81,7 @@
   void Apply(SettingsChanged&& changed);
   void Apply(const SettingsRefused& refused);
   void Apply(const WorkerBanned& ban);
+  void Apply(const DrainStarted&) { drain_.Start(context_.now); }
 
   // One overload for each action of a decision module.
   void Perform(const dispatch::Send& send) { attempts_.Start(send); }
@@ -96,13 +99,15 @@
             .dispatchers = dispatchers_,
             .endpoints = endpoints_,
             .requests = requests_,
-            .job_ids = job_ids_};
+            .job_ids = job_ids_,
+            .drain = drain_};
   }
 
   ReductionContext context_;
   JobClasses classes_;
   BanList bans_;
   JobIdRegistry job_ids_;
+  DrainSchedule drain_;
   DispatcherInstances dispatchers_;
   EndpointTable endpoints_{context_, bans_, dispatchers_};
   RequestTable requests_{context_};
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -9,6 +9,8 @@
 // The answer margin is at most the client's time divided by this number, so that a job with little time left
 // still gets an attempt.
 constexpr Micros kMaxAnswerMarginDivisor = 10;
+// Retry-After of a request that comes too late in a drain: another dispatcher can take it.
+constexpr Micros kRetryAfterInDrain = 500 * kMillisecond;
 
 }  // namespace
 
@@ -23,6 +25,9 @@
   const Verdict verdict = env_.job_ids.Check(received.job, job_class->settings, env_.context.now);
   if (verdict != Verdict::kAdmit)
     return AnswerRepeat(received, verdict, counters);
+  if (env_.drain.TooLateToStart(env_.context.now, received.job.time_left))
+    return RejectInDrain(received, counters);
+  received.job.time_left = env_.drain.LimitTime(env_.context.now, received.job.time_left);
   Admit(std::move(received), *job_class);
 }
 
@@ -43,6 +48,14 @@
              .request_id = received.job.id});
 }
 
+void RequestLifecycle::RejectInDrain(const RequestReceived& received, ClassCounters& counters) {
+  ++counters.rejected;
+  env_.context.Emit(
+      Answer{.client = received.client,
+             .answer = Rejection{.reason = Rejection::Reason::kDraining, .retry_after = kRetryAfterInDrain},
+             .request_id = received.job.id});
+}
+
 void RequestLifecycle::Admit(RequestReceived&& received, const JobClasses::JobClass& job_class) {
   Job& job = received.job;
   const Micros now = env_.context.now;
--- a/src/core/request_transfer.cpp
+++ b/src/core/request_transfer.cpp
@@ -90,7 +90,8 @@
   request.client = received.client;
   request.class_counter = job_class->counter;
   request.received_at = env_.context.now;
-  request.deadline = env_.context.now + std::max<Micros>(1, received.job.time_left);
+  const Micros time_left = env_.drain.LimitTime(env_.context.now, received.job.time_left);
+  request.deadline = env_.context.now + std::max<Micros>(1, time_left);
   if (received.may_have_run)
     request.first_run_at = kLongAgo;
   env_.job_ids.Open(received.job);
--- a/src/daemon/component.h
+++ b/src/daemon/component.h
@@ -20,6 +20,7 @@
   event_base* base = nullptr;
   EventSink* sink = nullptr;
   const Reducer* reducer = nullptr;  // read-only: its state changes only by events posted to `sink`
+  const DrainStatus* drain = nullptr;
   ComponentRegistry* registry = nullptr;
   // The daemon's clock: Unix time in microseconds that never steps back.
   std::function<Micros()> now;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -89,10 +89,12 @@
 void Daemon::Run() { event_base_dispatch(base_.get()); }
 
 void Daemon::StartComponents() {
-  components_ = MakeComponents(
-      {.base = base_.get(), .sink = this, .reducer = &reducer_, .registry = &registry_, .now = [this] {
-         return Now();
-       }});
+  components_ = MakeComponents({.base = base_.get(),
+                                .sink = this,
+                                .reducer = &reducer_,
+                                .drain = this,
+                                .registry = &registry_,
+                                .now = [this] { return Now(); }});
   for (const auto& component : components_)
     component->Start(config_);
 }
@@ -258,9 +260,9 @@
 }
 
 void Daemon::BeginDrain() {
-  if (drain_began_at_ != 0)
+  if (draining())
     return;
-  drain_began_at_ = Now();
+  Post(DrainStarted{});
   for (const auto& component : components_)
     component->BeginDrain();
   Log(LogLevel::kInfo, "draining");
@@ -271,7 +273,7 @@
 #ifdef ALDERSILL_MUTANT_EXIT_WITHOUT_DRAIN  // injected fault that fleet_search must detect
   return static_cast<void>(event_base_loopbreak(base_.get()));
 #endif
-  if (!IsIdle() || Now() - drain_began_at_ < kMinDrain) {
+  if (!IsIdle() || reducer_.drain().Elapsed(Now()) < kMinDrain) {
     drain_timer_->Set(kDrainCheckInterval);
     return;
   }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -19,7 +19,7 @@
 namespace aldersill {
 
 // Runs on one thread. SIGTERM and SIGINT begin a graceful shutdown; SIGHUP reloads the configuration.
-class Daemon : public EventSink {
+class Daemon : public EventSink, private DrainStatus {
  public:
   // Starts all components. Throws std::runtime_error if one of them cannot start.
   explicit Daemon(Config config);
@@ -63,6 +63,10 @@
   // Phase 2: applies the configuration to the core and the components. Cannot fail.
   void ApplyReload(Config next);
 
+  // DrainStatus
+  bool draining() const override { return reducer_.drain().draining(); }
+  bool answers_due() const override { return reducer_.drain().AnswersDue(Now()); }
+
   void BeginDrain();
   // Ends Run if the drain is complete; otherwise checks again after kDrainCheckInterval.
   void StopIfDrained();
@@ -85,7 +89,6 @@
   Micros reload_requested_at_ = 0;  // time of the last request for a reload, by the steady clock
   bool reload_rejected_ = false;    // whether the last requested reload has been rejected
   Micros clock_offset_ = 0;         // Unix time minus the steady clock's time, fixed at the start
-  Micros drain_began_at_ = 0;       // time when the drain began, by Now(); 0 before the drain
 
   ComponentRegistry registry_;
   std::vector<std::unique_ptr<Component>> components_;
--- a/src/daemon/faktory_component.cpp
+++ b/src/daemon/faktory_component.cpp
@@ -79,7 +79,8 @@
 
  private:
   std::unique_ptr<faktory::Frontend> MakeFrontend(const Config& config) const {
-    return std::make_unique<faktory::Frontend>(context_.base, FrontendSettingsFrom(config), context_.sink);
+    return std::make_unique<faktory::Frontend>(context_.base, FrontendSettingsFrom(config), context_.sink,
+                                               context_.drain);
   }
   void Register() {
     EffectHandlers& effects = context_.registry->effects;
--- a/src/daemon/platform_component.cpp
+++ b/src/daemon/platform_component.cpp
@@ -30,7 +30,6 @@
   HttpFrontendSettings settings;
   for (const auto& job_class : config.module.classes) {
     settings.requires_idempotency_key[job_class.name] = job_class.repeat == dispatch::Repeat::kKeyed;
-    settings.longest_deadline = std::max(settings.longest_deadline, job_class.deadline);
   }
   settings.max_connections = static_cast<std::size_t>(DivideDescriptors(config).http_clients);
   settings.shared_endpoint = config.mgmt.has_value();
@@ -56,7 +55,7 @@
                                               context_.sink);
     discovery_.Start(config);
     frontend_ = std::make_unique<HttpFrontend>(context_.base, listen_, limits_.frontend, context_.sink,
-                                               [this] { return IsReady(); });
+                                               context_.drain, [this] { return IsReady(); });
     transfer_ = std::make_unique<JobTransfer>(context_, frontend_.get(), workers_.get());
     ListenForJobs();
     // If another process of this dispatcher runs, it can serve clients until this one is ready.
--- a/src/faktory/frontend.cpp
+++ b/src/faktory/frontend.cpp
@@ -19,10 +19,11 @@
 
 }  // namespace
 
-Frontend::Frontend(event_base* base, FrontendSettings settings, EventSink* sink)
+Frontend::Frontend(event_base* base, FrontendSettings settings, EventSink* sink, const DrainStatus* drain)
     : base_(base),
       settings_(std::move(settings)),
       sink_(sink),
+      drain_(drain),
       workers_(base, sink, [this](const std::string& worker) { CloseSessionsOf(worker); }),
       started_at_(SteadyNow()),
       drain_timer_(base, [this] { CloseIdleProducers(); }) {
--- a/src/faktory/frontend.h
+++ b/src/faktory/frontend.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/drain_schedule.h"
 #include "core/types.h"
 #include "faktory/codec.h"
 #include "faktory/session.h"
@@ -30,8 +31,8 @@
 
 class Frontend : private SessionHost {
  public:
-  // Throws std::runtime_error if it cannot listen.
-  Frontend(event_base* base, FrontendSettings settings, EventSink* sink);
+  // `sink` and `drain` must outlive this object. Throws std::runtime_error if it cannot listen.
+  Frontend(event_base* base, FrontendSettings settings, EventSink* sink, const DrainStatus* drain);
   ~Frontend() override;
 
   // Applies new settings. `listener` replaces the present listener; null keeps it.
@@ -64,6 +65,7 @@
   const ClassDeadlines& classes() const override { return settings_.classes; }
   Micros fetch_wait() const override { return settings_.fetch_wait; }
   Micros drain_began() const override { return drain_began_; }
+  bool answers_due() const override { return drain_->answers_due(); }
   ServerInfo GetInfo() const override;
   void SubmitJob(Session* session, Job job) override;
   void ConnectWorker(Session* session, const Hello& hello) override { workers_.Connect(session, hello); }
@@ -81,6 +83,7 @@
   event_base* base_;
   FrontendSettings settings_;
   EventSink* sink_;
+  const DrainStatus* drain_;
   EventPtr<evconnlistener> listener_;
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
   WorkerRegistry workers_;
@@ -90,7 +93,9 @@
   std::uint64_t done_ = 0;
   std::uint64_t failed_ = 0;
   Micros started_at_ = 0;
-  Micros drain_began_ = 0;  // 0 if no drain is in progress
+  // When this frontend began to close its producers' sessions; 0 if it has not. It does so when the process
+  // exits, and when the operator turns the frontend off.
+  Micros drain_began_ = 0;
   Timer drain_timer_;
 };
 
--- a/src/faktory/session.cpp
+++ b/src/faktory/session.cpp
@@ -51,7 +51,8 @@
   // A session that was accepted during the drain, or that has sent part of a line, is expected to send a
   // command soon.
   const bool has_partial_line = evbuffer_get_length(bufferevent_get_input(stream_.get())) != 0;
-  const bool in_grace = SteadyNow() - std::max(accepted_, drain_began) < kNewSessionGrace;
+  const bool in_grace =
+      SteadyNow() - std::max(accepted_, drain_began) < kNewSessionGrace && !host_->answers_due();
   if ((accepted_ >= drain_began || has_partial_line) && in_grace)
     return false;
   if (state_ != State::kGreeting && state_ != State::kReady)
--- a/src/faktory/session.h
+++ b/src/faktory/session.h
@@ -27,6 +27,8 @@
   virtual Micros fetch_wait() const = 0;
   // The time at which the drain began; 0 if there is none.
   virtual Micros drain_began() const = 0;
+  // Whether the process is exiting and all answers must be written by now.
+  virtual bool answers_due() const = 0;
   virtual ServerInfo GetInfo() const = 0;
   // Calls AddPendingPush and posts the producer's job to the core.
   virtual void SubmitJob(Session* session, Job job) = 0;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -71,7 +71,7 @@
 }
 
 ClientConnection::ClientConnection(event_base* base, evutil_socket_t fd, Owner* owner,
-                                   const DrainSchedule* drain, RequestMemory* memory)
+                                   const DrainStatus* drain, RequestMemory* memory)
     : owner_(owner),
       drain_(drain),
       memory_(memory),
@@ -121,8 +121,7 @@
   // A new connection is probably about to send its first request, whether it was accepted after SIGTERM or
   // shortly before. It is closed after the response to that request.
   const Micros now = SteadyNow();
-  if (requests_read_ == 0 && now - last_progress_at_ < kNewConnectionDrainGrace &&
-      now < drain_->answers_due_at())
+  if (requests_read_ == 0 && now - last_progress_at_ < kNewConnectionDrainGrace && !drain_->answers_due())
     return false;
   return state_ == State::kReading && !reader_.started() && !HasUnreadBytes();
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "core/drain_schedule.h"
 #include "core/types.h"
-#include "http/drain_schedule.h"
 #include "http/http_response.h"
 #include "http/input_discarder.h"
 #include "http/request_memory.h"
@@ -73,7 +73,7 @@
   };
 
   // Takes ownership of `fd`. All pointers must outlive the connection.
-  ClientConnection(event_base* base, evutil_socket_t fd, Owner* owner, const DrainSchedule* drain,
+  ClientConnection(event_base* base, evutil_socket_t fd, Owner* owner, const DrainStatus* drain,
                    RequestMemory* memory);
   ~ClientConnection();
   ClientConnection(const ClientConnection&) = delete;
@@ -144,7 +144,7 @@
   void DiscardInput();
 
   Owner* owner_;
-  const DrainSchedule* drain_;
+  const DrainStatus* drain_;
   RequestMemory::Reservation memory_;
   EventPtr<bufferevent> stream_;
   InputDiscarder discarder_;
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -13,9 +13,6 @@
 namespace aldersill {
 namespace {
 
-// In a drain a job is not started if the time left is less than this and less than half of the time that the
-// job has by its deadline.
-constexpr Micros kMinTimeForLateRequest = 500 * kMillisecond;
 constexpr Micros kLateRequestRetryAfter = 500 * kMillisecond;
 constexpr const char* kReadinessPath = "/-/ready";
 
@@ -26,12 +23,12 @@
 }  // namespace
 
 HttpFrontend::HttpFrontend(event_base* base, const Endpoint& listen, HttpFrontendSettings settings,
-                           EventSink* sink, std::function<bool()> ready)
+                           EventSink* sink, const DrainStatus* drain, std::function<bool()> ready)
     : base_(base),
       settings_(std::move(settings)),
       sink_(sink),
       ready_(std::move(ready)),
-      drain_(settings_.longest_deadline),
+      drain_(drain),
       memory_(settings_.max_unfinished_bytes),
       acceptor_(base, listen, SharingOf(settings_), this),
       drain_timer_(base, [this] { CloseIdleConnections(); }),
@@ -45,7 +42,6 @@
 
 void HttpFrontend::ApplySettings(HttpFrontendSettings settings, EventPtr<evconnlistener> listener) {
   settings_ = std::move(settings);
-  drain_.set_longest_deadline(settings_.longest_deadline);
   memory_.set_limit(settings_.max_unfinished_bytes);
   if (listener != nullptr)
     acceptor_.ReplaceListener(std::move(listener));
@@ -56,7 +52,7 @@
 
 ClientConnection* HttpFrontend::AddConnection(evutil_socket_t fd) {
   ClientConnection::Owner* owner = this;
-  return connections_.Add(std::make_unique<ClientConnection>(base_, fd, owner, &drain_, &memory_));
+  return connections_.Add(std::make_unique<ClientConnection>(base_, fd, owner, drain_, &memory_));
 }
 
 void HttpFrontend::HandleAccepted(evutil_socket_t fd) { AddConnection(fd); }
@@ -119,10 +115,6 @@
     HandleRejection(503, "its deadline had passed when it was read", id);
     return connection->Respond(RejectionResponse(kLateRequestRetryAfter));
   }
-  if (!LimitTimeToDrain(&job)) {
-    HandleRejection(503, "too little time left in the drain", id);
-    return connection->Respond(RejectionResponse(kLateRequestRetryAfter));
-  }
   const std::uint64_t client = connections_.StartRequest(connection);
   connection->AwaitAnswer(client);
   sink_->Post(RequestReceived{{ClientRef::Frontend::kHttp, client}, std::move(job)});
@@ -139,16 +131,6 @@
   connection->Respond({.status = 503, .body = "not ready: no worker list yet\n", .headers = ""});
 }
 
-bool HttpFrontend::LimitTimeToDrain(Job* job) const {
-  const std::optional<Micros> time_left = drain_.TimeLeftForLateRequest(SteadyNow());
-  if (!time_left)
-    return true;
-  if (*time_left < kMinTimeForLateRequest && *time_left < job->time_left / 2)
-    return false;
-  job->time_left = std::min(job->time_left, *time_left);
-  return true;
-}
-
 void HttpFrontend::Reply(std::uint64_t client, const FinalAnswer& answer) {
   ClientConnection* connection = connections_.Find(client);
   if (connection == nullptr)
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -11,11 +11,11 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/drain_schedule.h"
 #include "core/types.h"
 #include "http/client_connection.h"
 #include "http/connection_acceptor.h"
 #include "http/connection_table.h"
-#include "http/drain_schedule.h"
 #include "http/rejection_log_throttle.h"
 #include "http/request_memory.h"
 #include "net/event_ptr.h"
@@ -28,16 +28,16 @@
   std::unordered_map<std::string, bool> requires_idempotency_key;  // by job class
   std::size_t max_connections = 0;
   std::size_t max_unfinished_bytes = 0;  // memory for incomplete requests, over all connections
-  Micros longest_deadline = 0;           // the longest request deadline of all job classes
   bool shared_endpoint = false;          // other processes of this dispatcher bind the endpoint too
 };
 
 class HttpFrontend final : private ClientConnection::Owner, private ConnectionAcceptor::Owner {
  public:
   // Binds the endpoint; accepts no connection before StartListening. `ready` decides the answer to
-  // GET /-/ready. `sink` must outlive this object. Throws std::runtime_error if the endpoint cannot be bound.
+  // GET /-/ready. `sink` and `drain` must outlive this object. Throws std::runtime_error if the endpoint
+  // cannot be bound.
   HttpFrontend(event_base* base, const Endpoint& listen, HttpFrontendSettings settings, EventSink* sink,
-               std::function<bool()> ready);
+               const DrainStatus* drain, std::function<bool()> ready);
   ~HttpFrontend();
   HttpFrontend(const HttpFrontend&) = delete;
   HttpFrontend& operator=(const HttpFrontend&) = delete;
@@ -65,7 +65,8 @@
   // Takes ownership of a connection from another process; returns the client's number at this frontend.
   std::uint64_t ReceiveTransfer(const TransferredConnection& transferred);
 
-  // Starts to close connections between requests. New connections are still accepted.
+  // Called once, when a drain has started: starts to close connections between requests. New connections are
+  // still accepted.
   void StartDraining();
   // Called in a drain if other processes share the endpoint. Routes new connections to the process with this
   // listener number, and stops listening once the connections that were being established are accepted. Logs
@@ -90,8 +91,6 @@
 
   ClientConnection* AddConnection(evutil_socket_t fd);
   void RespondToReadinessCheck(ClientConnection* connection);
-  // Shortens the job's time to what is left in a drain. False if that is too little to start the job.
-  bool LimitTimeToDrain(Job* job) const;
   static void LogClose(std::uint64_t client, CloseReason reason);
   void LogRejections(RejectionLogThrottle::Selection selection);
   void CloseIdleConnections();
@@ -100,7 +99,7 @@
   HttpFrontendSettings settings_;
   EventSink* sink_;
   std::function<bool()> ready_;
-  DrainSchedule drain_;
+  const DrainStatus* drain_;
   RequestMemory memory_;
   ConnectionAcceptor acceptor_;
   ConnectionTable connections_;
--- a/src/http/frontend_drain.cpp
+++ b/src/http/frontend_drain.cpp
@@ -1,7 +1,6 @@
 // Graceful shutdown of the HTTP frontend.
 #include "http/frontend.h"
 #include "log/log.h"
-#include "net/steady_clock.h"
 
 namespace aldersill {
 namespace {
@@ -11,9 +10,6 @@
 }  // namespace
 
 void HttpFrontend::StartDraining() {
-  if (drain_.draining())
-    return;
-  drain_.Start(SteadyNow());
   acceptor_.ResetLastAccept();
   CloseIdleConnections();
 }
@@ -25,7 +21,7 @@
 }
 
 void HttpFrontend::CloseIdleConnections() {
-  const bool answers_due = SteadyNow() >= drain_.answers_due_at();
+  const bool answers_due = drain_->answers_due();
   connections_.ForEach([&](ClientConnection* connection) {
     if (connection->IsIdle())
       connection->CloseBetweenRequests(CloseReason::kDrain);
@@ -39,7 +35,7 @@
   if (connections_.empty())
     return true;
   // Clients that have their answers but never close must not keep the process alive until it is killed.
-  return drain_.draining() && SteadyNow() >= drain_.answers_due_at() && connections_.AllLingering();
+  return drain_->answers_due() && connections_.AllLingering();
 }
 
 }  // namespace aldersill
--- a/src/log/trace.cpp
+++ b/src/log/trace.cpp
@@ -13,7 +13,7 @@
 
 // Indexed by Rejection::Reason.
 constexpr const char* kRejectionReasons[] = {"nothing_sent", "no_ready_worker", "after_attempts",
-                                             "duplicate_in_flight"};
+                                             "duplicate_in_flight", "draining"};
 
 const char* NameOf(Outcome outcome) { return kOutcomes[static_cast<std::size_t>(outcome)]; }
 
--- a/tests/daemon/two_frontends_test.cpp
+++ b/tests/daemon/two_frontends_test.cpp
@@ -1,11 +1,15 @@
 // Tests of the running program with both frontends: one rule applies, whichever frontend receives a job.
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <csignal>
+#include <exception>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 
+#include "blocked_worker.h"
 #include "daemon_under_test.h"
 #include "platform_config.h"
 #include "stand_ins.h"
@@ -14,6 +18,7 @@
 namespace {
 
 using tools::FaktorySession;
+using Clock = std::chrono::steady_clock;
 
 constexpr int kDeadlineMs = 20'000;
 
@@ -25,12 +30,18 @@
   return "PUSH " + job.dump();
 }
 
+const nlohmann::json kBothFrontends = {{"faktory", {{"enabled", true}, {"listen", "127.0.0.1:0"}}}};
+
+nlohmann::json Config() {
+  nlohmann::json config = ConfigWithoutDiscovery();
+  RaiseTenantQuotas(&config);
+  return config;
+}
+
 // The program with both frontends and one Faktory worker, which the test code impersonates.
 class TwoFrontends {
  public:
-  TwoFrontends()
-      : daemon(Config(), {{"faktory", {{"enabled", true}, {"listen", "127.0.0.1:0"}}}}),
-        worker(faktory_port(), "w1") {}
+  TwoFrontends() : daemon(Config(), kBothFrontends), worker(faktory_port(), "w1") {}
 
   std::uint16_t faktory_port() const { return daemon.ports().at("faktory"); }
 
@@ -55,13 +66,6 @@
 
   DaemonUnderTest daemon;
   FaktorySession worker;
-
- private:
-  static nlohmann::json Config() {
-    nlohmann::json config = ConfigWithoutDiscovery();
-    RaiseTenantQuotas(&config);
-    return config;
-  }
 };
 
 // Guards against a client that is answered with the result of another client's job: a push with the id of an
@@ -88,5 +92,40 @@
   CHECK(reply == "+OK");
 }
 
+// Times after SIGTERM. New sessions are accepted for some time, and a push counts as late after 0.6 s.
+constexpr std::chrono::milliseconds kConnectAt{450};
+constexpr std::chrono::milliseconds kPushAt{800};
+// SIGKILL follows after 3 s, the longest deadline that counts, and 0.7 s more.
+constexpr std::chrono::milliseconds kKillAt{3'700};
+
+// Guards against a job that is taken and run but finds no answer before SIGKILL: a push late in the drain
+// used to keep its own deadline.
+TEST_CASE("a push late in the drain is answered before SIGKILL") {
+  BlockedWorker worker;
+  nlohmann::json config = Config();
+  config["known"]["servers"] = {KnownServer("s-1", worker.port())};
+  for (int tries = 0;; ++tries) {
+    DaemonUnderTest daemon(config, kBothFrontends);
+    const auto signalled_at = Clock::now();
+    daemon.Signal(SIGTERM);
+    REQUIRE(daemon.WaitForLogLine("draining"));
+    std::string reply;
+    try {
+      std::this_thread::sleep_until(signalled_at + kConnectAt);
+      FaktorySession producer(daemon.ports().at("faktory"));
+      std::this_thread::sleep_until(signalled_at + kPushAt);
+      reply = producer.SendCommand(PushCommand("late")).value();
+    } catch (const std::exception&) {
+      REQUIRE(tries < 20);
+      continue;  // the machine was too slow: the session was closed before the push
+    }
+    CHECK(Clock::now() - signalled_at < kKillAt);
+    CHECK(reply.starts_with("-ERR FAILED"));
+    worker.AwaitRun("late");
+    CHECK(daemon.WaitForExit() == 0);
+    break;
+  }
+}
+
 }  // namespace
 }  // namespace aldersill::tests
--- a/tests/daemon/upgrade_test.cpp
+++ b/tests/daemon/upgrade_test.cpp
@@ -4,15 +4,13 @@
 #include <sys/socket.h>
 
 #include <chrono>
-#include <condition_variable>
 #include <fstream>
 #include <memory>
-#include <mutex>
 #include <optional>
-#include <set>
 #include <thread>
 #include <vector>
 
+#include "blocked_worker.h"
 #include "core/reducer.h"
 #include "daemon_under_test.h"
 #include "platform_config.h"
@@ -153,42 +151,6 @@
 constexpr const char* kRejected = "HTTP/1.1 503 Service Unavailable";
 constexpr std::chrono::seconds kTimeout{15};
 
-// A worker whose jobs do not complete until CompleteJobs is called.
-class BlockedWorker {
- public:
-  BlockedWorker()
-      : server_(0, tools::JobRunningHandler(
-                       [this](const std::string& id, const std::string&) { return Run(id); })) {}
-  ~BlockedWorker() { CompleteJobs(); }
-
-  std::uint16_t port() const { return server_.port(); }
-  // Completes all running jobs, and later jobs as they arrive.
-  void CompleteJobs() {
-    const std::lock_guard lock(mutex_);
-    blocked_ = false;
-    changed_.notify_all();
-  }
-  // Waits until the worker has started the job.
-  void AwaitRun(const std::string& id) {
-    std::unique_lock lock(mutex_);
-    REQUIRE(changed_.wait_for(lock, kTimeout, [&] { return started_.contains(id); }));
-  }
-
- private:
-  tools::JobOutcome Run(const std::string& id) {
-    std::unique_lock lock(mutex_);
-    started_.insert(id);
-    changed_.notify_all();
-    changed_.wait(lock, [this] { return !blocked_; });
-    return tools::JobOutcome::kDone;
-  }
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  bool blocked_ = true;
-  std::set<std::string> started_;
-  tools::HttpServer server_;
-};
-
 // Reserves a port for this test while daemons start and exit on it. The socket is bound with SO_REUSEPORT but
 // does not listen, so other sockets of this user can listen on the port.
 Socket ReservePort() {
