Refuse the id of a job that is open in the other process of an upgrade

The daemon takes the lock before it passes a request to the core, and the core says when an id is free (JobIdClosed). A process that transfers a job makes its lock shared before the send and keeps it, so the id is free at no moment; a killed process frees its ids.

Evidence: "the id of an open job is refused by each process, before and after the job's transfer" of upgrade_test fails with the program before (503 in place of 409) and passes now.

--- a/src/core/attempt_controller.cpp
+++ b/src/core/attempt_controller.cpp
@@ -296,13 +296,20 @@
   if (request == nullptr || request->open_attempts > 0)
     return;
   // A transferred job continues in another process, so its id stays open here until this process exits.
-  if (!request->transferred)
+  if (!request->transferred) {
     env_.job_ids.Close(*request->job, request->first_run_at);
+    ReportIfClosed(request->job->id);
+  }
   if (request->dispatcher)
     env_.dispatchers.ReleaseRequest(*request->dispatcher);
   env_.requests.Erase(id);
 }
 
+void AttemptController::ReportIfClosed(const std::string& id) {
+  if (!id.empty() && !env_.job_ids.IsOpen(id))
+    env_.context.Emit(JobIdClosed{id});
+}
+
 bool AttemptController::MaySend(const Attempt& attempt) const {
   const WorkerEndpoint* worker = env_.endpoints.Find(attempt.worker);
   return worker != nullptr && env_.endpoints.IsAvailable(*worker) &&
--- a/src/core/attempt_controller.h
+++ b/src/core/attempt_controller.h
@@ -81,6 +81,8 @@
   // Does nothing if the request still waits for its answer. Otherwise ends its unsent attempts, whether or
   // not the settings allow cancelling, and removes the request if no attempt is open any longer.
   void ReleaseIfAnswered(dispatch::RequestId id);
+  // Emits JobIdClosed unless a job with this id is open. Ignores an empty id.
+  void ReportIfClosed(const std::string& id);
 
   // Returns null if the attempt is not open.
   const Attempt* Find(AttemptId id) const;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -90,6 +90,11 @@
   std::string request_id = {};  // for logs; empty if the request has none
 };
 
+// No job with this id is open in this process any longer.
+struct JobIdClosed {
+  std::string id;
+};
+
 // ---- Timers, discovery and the log ----
 
 struct SetTimer {
@@ -114,7 +119,7 @@
 };
 
 using Effect = std::variant<StartAttempt, ResumeAttempt, SendAttempt, StopAttempt, Answer, SetTimer,
-                            ClearTimer, ProbeWorker, WatchEndpointList, LogLine>;
+                            ClearTimer, ProbeWorker, WatchEndpointList, LogLine, JobIdClosed>;
 
 }  // namespace aldersill
 
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -41,6 +41,10 @@
 struct RequestReceived {
   ClientRef client;
   Job job;
+  // Another process of this dispatcher has transferred the job, which it had not attempted.
+  bool transferred = false;
+  // A job with this id is open in another process of this dispatcher.
+  bool open_elsewhere = false;
 };
 
 // A frontend could not read a job from a request and has answered the request itself.
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -15,6 +15,12 @@
 }  // namespace
 
 void RequestLifecycle::Apply(RequestReceived&& received) {
+  const std::string id = received.job.id;
+  AdmitOrAnswer(std::move(received));
+  attempts_.ReportIfClosed(id);
+}
+
+void RequestLifecycle::AdmitOrAnswer(RequestReceived&& received) {
   const JobClasses::JobClass* job_class = env_.classes.Find(received.job.job_class);
   // Frontends answer requests of unknown classes themselves. If one passes such a request on, the process
   // must not crash.
@@ -22,7 +28,9 @@
     return env_.context.Emit(Answer{.client = received.client, .answer = Failure{}});
   ClassCounters& counters = env_.context.counters.classes[job_class->counter];
   ++counters.received;
-  const Verdict verdict = env_.job_ids.Check(received.job, job_class->settings, env_.context.now);
+  const Verdict verdict = received.open_elsewhere
+                              ? Verdict::kReject
+                              : env_.job_ids.Check(received.job, job_class->settings, env_.context.now);
   if (verdict != Verdict::kAdmit)
     return AnswerRepeat(received, verdict, counters);
   if (env_.drain.TooLateToStart(env_.context.now, received.job.time_left))
--- a/src/core/request_lifecycle.h
+++ b/src/core/request_lifecycle.h
@@ -17,6 +17,7 @@
   explicit RequestLifecycle(const AttemptController::Environment& environment, AttemptController& attempts)
       : env_(environment), attempts_(attempts) {}
 
+  // Admits the request or answers it.
   void Apply(RequestReceived&& received);
   void Apply(const RequestRejectedByFrontend& rejected);
   void Apply(const ClientLeft& left);
@@ -26,6 +27,8 @@
   void Fail(const dispatch::Fail& failure);
 
  private:
+  void AdmitOrAnswer(RequestReceived&& received);
+
   using Verdict = JobIdRegistry::Verdict;
 
   void AnswerRepeat(const RequestReceived& received, Verdict verdict, ClassCounters& counters);
--- a/src/core/request_transfer.cpp
+++ b/src/core/request_transfer.cpp
@@ -83,8 +83,10 @@
 
 void RequestTransfer::Apply(JobReceived&& received) {
   const JobClasses::JobClass* job_class = env_.classes.Find(received.job.job_class);
-  if (job_class == nullptr)
-    return env_.context.Emit(Answer{.client = received.client, .answer = Failure{}});
+  if (job_class == nullptr) {
+    env_.context.Emit(Answer{.client = received.client, .answer = Failure{}});
+    return attempts_.ReportIfClosed(received.job.id);
+  }
   ++env_.context.counters.classes[job_class->counter].received;
   Request request;
   request.client = received.client;
--- a/src/daemon/component_registry.h
+++ b/src/daemon/component_registry.h
@@ -15,6 +15,7 @@
 #include "daemon/attempt_transport.h"
 #include "daemon/response_sink.h"
 #include "snmp/objects.h"
+#include "upgrade/job_id_locks.h"
 #include "upgrade/process_group.h"
 
 namespace aldersill {
@@ -65,6 +66,10 @@
   // Returns the path of that socket of the newest other process that accepts new client connections; empty if
   // there is no such process.
   std::function<std::string()> peer_transfer_socket;
+  // Locks the id of an open job against the other processes. Returns false if a job with this id is open in
+  // another process.
+  std::function<bool(const std::string& id, upgrade::JobIdLocks::Mode mode)> lock_job_id;
+  std::function<void(const std::string& id)> unlock_job_id;
   // Bans a worker or lifts its ban, in all processes of this dispatcher.
   std::function<void(const std::string& worker, bool banned)> set_ban;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -130,6 +130,8 @@
 
 void Daemon::Reduce(Event event) {
   effects_.clear();
+  if (auto* received = std::get_if<RequestReceived>(&event))
+    LockJobId(*received);
   Trace(event);
   reducer_.Reduce(Now(), std::move(event), &effects_);
   for (const Effect& effect : effects_) {
@@ -138,6 +140,16 @@
   }
 }
 
+void Daemon::LockJobId(RequestReceived& received) const {
+  const auto& lock = registry_.process_group.lock_job_id;
+  if (!lock || received.job.id.empty())
+    return;
+  // The process that transfers a job keeps its own lock until it exits.
+  using Mode = upgrade::JobIdLocks::Mode;
+  const Mode mode = received.transferred ? Mode::kShared : Mode::kExclusive;
+  received.open_elsewhere = !lock(received.job.id, mode);
+}
+
 void Daemon::Perform(const StartAttempt& start) {
   // The client may have closed its connection right after it sent its request, or just before the event that
   // led to this attempt. The frontend has not read the close yet in that case, and nobody would receive the
@@ -204,6 +216,11 @@
 
 void Daemon::Perform(const LogLine& line) { Log(LogLevel::kInfo, "core_message", {{"text", line.text}}); }
 
+void Daemon::Perform(const JobIdClosed& closed) {
+  if (registry_.process_group.unlock_job_id)
+    registry_.process_group.unlock_job_id(closed.id);
+}
+
 void Daemon::Reload() {
   reload_requested_at_ = SteadyNow();
   reload_rejected_ = false;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -38,6 +38,9 @@
   static void OnSignal(evutil_socket_t signal, short what, void* self);
 
   void Reduce(Event event);
+  // Locks the request's id against the other processes of this dispatcher. Whether one of them has it open is
+  // recorded in the request.
+  void LockJobId(RequestReceived& received) const;
   void Perform(const StartAttempt& start);
   void Perform(const ResumeAttempt& resume);
   void Perform(const SendAttempt& send);
@@ -48,6 +51,7 @@
   void Perform(const ProbeWorker& probe);
   void Perform(const WatchEndpointList& watch);
   void Perform(const LogLine& line);
+  void Perform(const JobIdClosed& closed);
   bool ClientDisconnected(const ClientRef& client) const;
 
   // Reads the configuration again and applies all of it, or none of it if any part is rejected. If a file
--- a/src/daemon/job_transfer.cpp
+++ b/src/daemon/job_transfer.cpp
@@ -55,6 +55,8 @@
                                       .head_only = client->head_only,
                                       .running = {}};
   transferred.job.time_left = in_flight.time_left;
+  // From now on both processes hold the id, so that it is never free in between.
+  context_.registry->process_group.lock_job_id(in_flight.job->id, upgrade::JobIdLocks::Mode::kShared);
   if (in_flight.running) {
     auto worker = workers_->PrepareTransfer(*in_flight.running);
     if (!worker)
@@ -84,11 +86,13 @@
   if (transferred->running)
     ReceiveRunning(client, std::move(*transferred), std::move(descriptors[1]));
   else
-    context_.sink->Post(RequestReceived{client, std::move(transferred->job)});
+    context_.sink->Post(
+        RequestReceived{.client = client, .job = std::move(transferred->job), .transferred = true});
 }
 
 void JobTransfer::ReceiveRunning(const ClientRef& client, upgrade::TransferredJob transferred,
                                  UniqueDescriptor worker_connection) {
+  context_.registry->process_group.lock_job_id(transferred.job.id, upgrade::JobIdLocks::Mode::kShared);
   const std::uint64_t number = next_transfer_number_++;
   JobReceived received{.client = client,
                        .job = std::move(transferred.job),
--- a/src/daemon/upgrade_component.cpp
+++ b/src/daemon/upgrade_component.cpp
@@ -12,6 +12,7 @@
 #include "log/log.h"
 #include "net/endpoint.h"
 #include "net/timer.h"
+#include "upgrade/job_id_locks.h"
 #include "upgrade/process_group.h"
 
 namespace aldersill {
@@ -42,7 +43,9 @@
       return;
     try {
       group_.emplace(*directory, static_cast<std::uint64_t>(context_.now()) * kNanosecondsPerMicrosecond);
+      job_id_locks_.emplace(*directory);
     } catch (const std::runtime_error& error) {
+      group_.reset();
       return Log(LogLevel::kWarning, "process_group_unavailable", {{"why", error.what()}});
     }
     AdoptSharedBans();
@@ -64,6 +67,13 @@
     services.peer_transfer_socket = [this] {
       return group_ ? group_->NewestListeningSocket() : std::string();
     };
+    services.lock_job_id = [this](const std::string& id, upgrade::JobIdLocks::Mode mode) {
+      return !job_id_locks_ || job_id_locks_->Lock(id, mode);
+    };
+    services.unlock_job_id = [this](const std::string& id) {
+      if (job_id_locks_)
+        job_id_locks_->Unlock(id);
+    };
     services.set_ban = [this](const std::string& worker, bool banned) { SetBan(worker, banned); };
   }
 
@@ -126,7 +136,8 @@
   }
 
   const ComponentContext context_;
-  std::optional<upgrade::ProcessGroup> group_;  // none if this process acts as the only one
+  std::optional<upgrade::ProcessGroup> group_;       // none if this process acts as the only one
+  std::optional<upgrade::JobIdLocks> job_id_locks_;  // none if this process acts as the only one
   Timer check_timer_;
   int other_processes_ = 0;  // number of other processes at the last check
 };
--- a/src/upgrade/process_group.h
+++ b/src/upgrade/process_group.h
@@ -12,6 +12,8 @@
 //       The list of banned workers (ban_list.h). It is replaced by rename, never written in place.
 //   bans.lock
 //       The file that a process locks with flock while it changes bans.json.
+//   ids.lock
+//       The file whose bytes the processes lock while jobs are open (job_id_locks.h).
 //   process-TIME.bans
 //       The new bans.json before the rename.
 //
--- a/tests/daemon/effect_digest.h
+++ b/tests/daemon/effect_digest.h
@@ -94,6 +94,7 @@
   }
   void Add(const WatchEndpointList&) {}
   void Add(const LogLine& line) { Add(line.text); }
+  void Add(const JobIdClosed& closed) { Add(closed.id); }
   void Add(const Effect& effect) {
     Add(effect.index());
     std::visit([this](const auto& typed_effect) { Add(typed_effect); }, effect);
--- a/tests/daemon/random_core_run.h
+++ b/tests/daemon/random_core_run.h
@@ -354,6 +354,7 @@
   void Track(const SendAttempt&) {}
   void Track(const WatchEndpointList&) {}
   void Track(const LogLine&) {}
+  void Track(const JobIdClosed&) {}
 
   // Adds the state that the daemon reads from the reducer between events.
   void AddObservations() {
--- a/tests/daemon/upgrade_test.cpp
+++ b/tests/daemon/upgrade_test.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -18,6 +20,7 @@
 #include "stand_ins.h"
 #include "upgrade/ban_list.h"
 #include "upgrade/job_codec.h"
+#include "upgrade/job_id_locks.h"
 #include "upgrade/process_group.h"
 
 namespace aldersill::tests {
@@ -88,6 +91,33 @@
     CHECK(!upgrade::DecodeJob(bytes.substr(0, size)));
 }
 
+TEST_CASE("a job id that is open in one process is locked against the others until it ends there") {
+  using upgrade::JobIdLocks;
+  using Mode = JobIdLocks::Mode;
+  const TemporaryDirectory directory;
+  JobIdLocks next(directory.path());
+  {
+    JobIdLocks old(directory.path());
+    CHECK(old.Lock("r1", Mode::kExclusive));
+    CHECK(old.Lock("r1", Mode::kExclusive));
+    CHECK(next.Lock("r2", Mode::kExclusive));
+    CHECK(!next.Lock("r1", Mode::kExclusive));
+    CHECK(!next.Lock("r1", Mode::kShared));
+    old.Unlock("r1");
+    CHECK(next.Lock("r1", Mode::kExclusive));
+    next.Unlock("r1");
+    // A transfer: there is no time at which a third process could lock the id.
+    CHECK(old.Lock("r3", Mode::kExclusive));
+    CHECK(old.Lock("r3", Mode::kShared));
+    CHECK(!next.Lock("r3", Mode::kExclusive));
+    CHECK(next.Lock("r3", Mode::kShared));
+    CHECK(old.Lock("r4", Mode::kExclusive));
+  }
+  JobIdLocks third(directory.path());
+  CHECK(!third.Lock("r3", Mode::kExclusive));
+  CHECK(third.Lock("r4", Mode::kExclusive));  // its process has ended
+}
+
 // ---- Received jobs in the core ----
 
 CoreSettings SettingsOfOneClass(dispatch::Repeat repeat) {
@@ -148,6 +178,7 @@
 // ---- Started daemons ----
 
 constexpr const char* kServed = "HTTP/1.1 200 OK";
+constexpr const char* kDuplicate = "HTTP/1.1 409 Conflict";
 constexpr const char* kRejected = "HTTP/1.1 503 Service Unavailable";
 constexpr std::chrono::seconds kTimeout{15};
 
@@ -241,6 +272,41 @@
   CHECK(Command(*next, "DUMP").find("app.success.cobro:1|c") != std::string::npos);
 }
 
+// Sends requests on new connections, of which the kernel gives some to each listening process. Returns the
+// distinct status lines that differ from `expected`, separated by commas.
+std::string UnexpectedAnswers(const Dispatcher& dispatcher, const std::string& id,
+                              const std::string& expected) {
+  constexpr int kConnections = 20;
+  constexpr int kShortDeadlineMs = 500;
+  std::set<std::string> unexpected;
+  for (int connection = 0; connection < kConnections; ++connection)
+    unexpected.insert(dispatcher.Request(id, kShortDeadlineMs));
+  unexpected.erase(expected);
+  std::string text;
+  for (const std::string& line : unexpected)
+    text += (text.empty() ? "" : ", ") + line;
+  return text;
+}
+
+// Guards against a second run of a job, and a client that is answered with the result of another client's
+// job: a request with an id that was open in the old process used to be admitted by the next one.
+TEST_CASE("the id of an open job is refused by each process, before and after the job's transfer") {
+  Dispatcher dispatcher;
+  const auto old = dispatcher.StartProcess();
+  tools::Wire client(tools::ConnectTo(dispatcher.port()));
+  std::thread request(
+      [&] { CHECK(tools::Post(&client, "cobro", "r1", kTenant, 20'000, "x").body == "ran r1"); });
+  dispatcher.worker.AwaitRun("r1");
+  const auto next = dispatcher.StartReadyProcess();
+  CHECK(UnexpectedAnswers(dispatcher, "r1", kDuplicate) == "");
+  old->Signal(SIGTERM);
+  CHECK(UnexpectedAnswers(dispatcher, "r1", kDuplicate) == "");
+  CHECK(old->WaitForExit() == 0);
+  CHECK(UnexpectedAnswers(dispatcher, "r1", kDuplicate) == "");
+  dispatcher.worker.CompleteJobs();
+  request.join();
+}
+
 TEST_CASE("no new connection is refused or reset while one process replaces another") {
   Dispatcher dispatcher;
   dispatcher.worker.CompleteJobs();
