Do not evict a connection whose request may be complete

Cause: PriorityForEviction asked for unread bytes before it gave up a silent or an idle connection, but not for one with a request in part. While a crowd is accepted nothing is read, so what was completed meanwhile looked stalled.

A connection with a request in part is now kept while bytes are unread. One that is evicted gets 503 with Retry-After first, because the last bytes may still arrive between the question and the close.

Evidence: both new cases of client_limits_test fail with the program before (the request is never forwarded; the connection is closed without an answer) and pass now, three runs each.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -106,15 +106,33 @@
   const bool response_unread = state_ == State::kWriting && now - last_progress_at_ > kUnreadResponseGrace;
   const bool request_stalled =
       state_ == State::kReading && reader_.started() && now - request_started_at_ > kPartialRequestGrace;
-  if (response_unread || request_stalled)
+  if (response_unread)
     return {.eviction_class = Class::kStalled, .since = last_progress_at_};
-  if (state_ != State::kReading || reader_.started() || now - last_progress_at_ < kNewConnectionGrace)
+  const bool between_requests =
+      state_ == State::kReading && !reader_.started() && now - last_progress_at_ >= kNewConnectionGrace;
+  if (!request_stalled && !between_requests)
     return {};
-  const EvictionPriority idle_priority{.eviction_class = requests_read_ > 0 ? Class::kIdle : Class::kSilent,
-                                       .since = last_progress_at_};
-  if (idle_priority < lowest && HasUnreadBytes())
+  EvictionPriority priority{.eviction_class = Class::kStalled, .since = last_progress_at_};
+  if (between_requests)
+    priority.eviction_class = requests_read_ > 0 ? Class::kIdle : Class::kSilent;
+  // The unread bytes may complete a request.
+  if (priority < lowest && HasUnreadBytes())
     return {};
-  return idle_priority;
+  return priority;
+}
+
+void ClientConnection::AnswerBeforeEviction() {
+  if (state_ != State::kReading || !reader_.started())
+    return;
+  owner_->HandleRejection(503, "incomplete, and its connection was needed",
+                          RequestIdForLog(reader_.request()));
+  // Written past the stream, which is destroyed before the event loop could write its output. Not written if
+  // the stream has output of its own, which comes first.
+  if (evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0)
+    return;
+  const std::string text =
+      Serialize(RejectionResponse(kOverloadRetryAfter), {.close = true, .omit_body = head_only_});
+  static_cast<void>(send(bufferevent_getfd(stream_.get()), text.data(), text.size(), MSG_NOSIGNAL));
 }
 
 bool ClientConnection::IsIdle() const {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -100,9 +100,13 @@
   // Takes over a connection whose request was read by another process.
   void ReceiveTransfer(std::uint64_t client, const TransferredConnection& transferred);
 
-  // `lowest` is the lowest priority found so far. A silent or idle connection with unread bytes is not
-  // evictable; the kernel is asked for them only if the connection would otherwise be below `lowest`.
+  // `lowest` is the lowest priority found so far. A connection whose request may be complete, as it has
+  // unread bytes, is not evictable; the kernel is asked for them only if the connection would otherwise be
+  // below `lowest`.
   EvictionPriority PriorityForEviction(Micros now, EvictionPriority lowest) const;
+  // Rejects a partial request at once, if there is one. Its last bytes may arrive while the connection is
+  // being closed, and its client must then find an answer.
+  void AnswerBeforeEviction();
 
   // Whether a drain may close the connection now: it is between requests and past its initial grace period.
   bool IsIdle() const;
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -63,9 +63,10 @@
   ClientConnection* evictable = connections_.FindEvictable(SteadyNow());
   if (evictable == nullptr)
     return false;
-  // The connection is closed at once, as its descriptor is needed. A request that crosses the close causes a
-  // reset, and the client sends it again on a new connection. An idle connection has no unread bytes, and its
-  // last response has had time to arrive.
+  // The connection is closed at once, as its descriptor is needed. A request that crosses the close of an
+  // idle connection causes a reset, and the client sends it again on a new connection. An idle connection has
+  // no unread bytes, and its last response has had time to arrive.
+  evictable->AnswerBeforeEviction();
   RemoveConnection(evictable, CloseReason::kEvicted);
   return true;
 }
--- a/tests/daemon/client_limits_test.cpp
+++ b/tests/daemon/client_limits_test.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "client_scenario.h"
@@ -77,5 +78,41 @@
   CHECK(Receive(valid_client, "ran r1").text.starts_with(kStatusOk));
 }
 
+// Guards against a request that is complete but finds its connection closed without an answer: the eviction
+// of a stalled connection did not ask whether the rest of its request was there and only not read yet.
+TEST_CASE("a slow request whose last bytes are unread when its descriptor is needed is served") {
+  // More than the connections that 64 descriptors allow.
+  constexpr int kNewcomers = 80;
+  ClientScenario scenario(nlohmann::json{{"/limits/sockets", 64}});
+  const Socket slow = scenario.Connect();
+  const std::string request = Request("r1", "half, and the rest");
+  REQUIRE(Send(slow, request.substr(0, request.size() - 8)));
+  // A request in part counts as stalled after 500 ms.
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  // The newcomers and the last bytes wait for the daemon, which accepts the newcomers before it reads.
+  scenario.daemon->Suspend();
+  std::vector<Socket> newcomers;
+  for (int i = 0; i < kNewcomers; ++i)
+    newcomers.push_back(scenario.Connect());
+  REQUIRE(Send(slow, request.substr(request.size() - 8)));
+  scenario.daemon->Signal(SIGCONT);
+  ClientScenario::Complete(scenario.AcceptAttempt("r1"), "r1");
+  CHECK(Receive(slow, "ran r1").text.starts_with(kStatusOk));
+}
+
+TEST_CASE("a stalled request is rejected before its connection is closed for a new one") {
+  constexpr int kNewcomers = 80;
+  ClientScenario scenario(nlohmann::json{{"/limits/sockets", 64}});
+  const Socket slow = scenario.Connect();
+  REQUIRE(Send(slow, Request("r1", "half, and the rest").substr(0, 60)));
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  std::vector<Socket> newcomers;
+  for (int i = 0; i < kNewcomers; ++i)
+    newcomers.push_back(scenario.Connect());
+  const Received received = Receive(slow);
+  CHECK(received.text.starts_with("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: "));
+  CHECK(scenario.NothingForwarded());
+}
+
 }  // namespace
 }  // namespace aldersill::tests
