--- a/src/core/drain_schedule.h
+++ b/src/core/drain_schedule.h
@@ -20,8 +20,8 @@
   // Whether a drain is in progress and all answers must be written by now.
   bool AnswersDue(Micros now) const;
 
-  // Returns the time in which a job that arrives now must be answered: `time_left`, or less if the job is
-  // late in a drain. A job is late if SIGKILL may come before the end of its own time.
+  // Returns the time in which a job that arrives now must be answered: `time_left`, or less if the job
+  // arrives late in a drain and SIGKILL may come before the end of its own time.
   Micros LimitTime(Micros now, Micros time_left) const;
   // Whether a job with this time left is too late in a drain to be started.
   bool TooLateToStart(Micros now, Micros time_left) const;
