Count a push's deadline from its last byte, and begin no push of a gone client

An HTTP retry began although the client had closed behind unread bytes, and a job that waited for a FETCH was delivered with the time that it had when it was queued.

Cause: each part took the time, and looked for the close, when it came to it. A Faktory session stopped reading while a push ran, so it knew neither.

Change: a session reads on while a push runs, and CommandInput records when the waiting bytes arrived, within 1 MiB for a session and 16 MiB for all; more is discarded, and the session ends with an error after the replies to what waits. The core subtracts the time that a request of either frontend has waited and rejects it if nothing is left (why=read_too_late). Both frontends ask the kernel whether the peer has closed (POLLRDHUP), before each attempt. WorkerRegistry delivers the time that is left at the FETCH.

--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -69,6 +69,7 @@
     kAfterAttempts,            // the job cannot have run in the attempts so far, or may be repeated
     kAbandonedAttemptRunning,  // an abandoned attempt of the same id has not ended
     kDraining,                 // too little time is left before this process exits
+    kReadTooLate,              // the deadline had passed when the frontend read the request
   } reason = Reason::kNothingSent;
   Micros retry_after = 0;
 };
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -41,6 +41,8 @@
 struct RequestReceived {
   ClientRef client;
   Job job;
+  // Time since the last byte of the request arrived, from which the job's time counts.
+  Micros waited = 0;
   // Another process of this dispatcher has transferred the job, which it had not attempted.
   bool transferred = false;
   // A job with this id is open in another process of this dispatcher.
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -11,6 +11,7 @@
 constexpr Micros kMaxAnswerMarginDivisor = 10;
 // Retry-After of a request that comes too late in a drain: another dispatcher can take it.
 constexpr Micros kRetryAfterInDrain = 500 * kMillisecond;
+constexpr Micros kRetryAfterLateRead = 500 * kMillisecond;
 
 }  // namespace
 
@@ -33,8 +34,11 @@
                               : env_.job_ids.Check(received.job, job_class->settings, env_.context.now);
   if (verdict != Verdict::kAdmit)
     return AnswerRepeat(received, verdict, counters);
+  received.job.time_left -= received.waited;
+  if (received.job.time_left <= 0)
+    return RejectUnadmitted(received, {Rejection::Reason::kReadTooLate, kRetryAfterLateRead}, counters);
   if (env_.drain.TooLateToStart(env_.context.now, received.job.time_left))
-    return RejectInDrain(received, counters);
+    return RejectUnadmitted(received, {Rejection::Reason::kDraining, kRetryAfterInDrain}, counters);
   received.job.time_left = env_.drain.LimitTime(env_.context.now, received.job.time_left);
   Admit(std::move(received), *job_class);
 }
@@ -48,20 +52,16 @@
                                     .answer = Failure{.reason = Failure::Reason::kRepeat},
                                     .request_id = received.job.id});
   }
-  ++counters.rejected;
-  env_.context.Emit(
-      Answer{.client = received.client,
-             .answer = Rejection{.reason = Rejection::Reason::kAbandonedAttemptRunning,
-                                 .retry_after = env_.context.settings.dispatcher.max_retry_after},
-             .request_id = received.job.id});
+  RejectUnadmitted(received,
+                   {.reason = Rejection::Reason::kAbandonedAttemptRunning,
+                    .retry_after = env_.context.settings.dispatcher.max_retry_after},
+                   counters);
 }
 
-void RequestLifecycle::RejectInDrain(const RequestReceived& received, ClassCounters& counters) {
+void RequestLifecycle::RejectUnadmitted(const RequestReceived& received, const Rejection& rejection,
+                                        ClassCounters& counters) {
   ++counters.rejected;
-  env_.context.Emit(
-      Answer{.client = received.client,
-             .answer = Rejection{.reason = Rejection::Reason::kDraining, .retry_after = kRetryAfterInDrain},
-             .request_id = received.job.id});
+  env_.context.Emit(Answer{.client = received.client, .answer = rejection, .request_id = received.job.id});
 }
 
 void RequestLifecycle::Admit(RequestReceived&& received, const JobClasses::JobClass& job_class) {
--- a/src/core/request_lifecycle.h
+++ b/src/core/request_lifecycle.h
@@ -32,7 +32,7 @@
   using Verdict = JobIdRegistry::Verdict;
 
   void AnswerRepeat(const RequestReceived& received, Verdict verdict, ClassCounters& counters);
-  void RejectInDrain(const RequestReceived& received, ClassCounters& counters);
+  void RejectUnadmitted(const RequestReceived& received, const Rejection& rejection, ClassCounters& counters);
   void Admit(RequestReceived&& received, const JobClasses::JobClass& job_class);
 
   AttemptController::Environment env_;
--- a/src/daemon/faktory_component.cpp
+++ b/src/daemon/faktory_component.cpp
@@ -44,6 +44,10 @@
   void Stop(AttemptId attempt) override { frontend_->Stop(attempt); }
   void Reply(std::uint64_t client, const FinalAnswer& answer) override { frontend_->Reply(client, answer); }
 
+  bool ClientDisconnected(std::uint64_t client) const override {
+    return frontend_->ClientDisconnected(client);
+  }
+
   void PrepareReload(const Config& next) override {
     const FaktorySettings& next_settings = next.operator_settings.faktory;
     if (!next_settings.enabled)
--- a/src/faktory/frontend.cpp
+++ b/src/faktory/frontend.cpp
@@ -13,6 +13,9 @@
 
 constexpr Micros kDrainCheckInterval = 20 * kMillisecond;
 
+// Limits the input of all sessions that waits behind unanswered commands.
+constexpr std::size_t kMaxWaitingInput = std::size_t{16} << 20;
+
 WorkerTimeouts TimeoutsOf(const FrontendSettings& settings) {
   return {.heartbeat = settings.heartbeat_timeout, .reconnect = settings.reconnect_timeout};
 }
@@ -24,6 +27,7 @@
       settings_(std::move(settings)),
       sink_(sink),
       drain_(drain),
+      input_memory_(kMaxWaitingInput),
       workers_(base, sink, [this](const std::string& worker) { CloseSessionsOf(worker); }),
       started_at_(SteadyNow()),
       drain_timer_(base, [this] { CloseIdleProducers(); }) {
@@ -63,7 +67,7 @@
     return;
   }
   SessionHost* host = this;
-  auto session = std::make_unique<Session>(base_, host, fd);
+  auto session = std::make_unique<Session>(base_, host, &input_memory_, fd);
   Session* key = session.get();
   sessions_.emplace(key, std::move(session));
 }
@@ -105,12 +109,13 @@
           .uptime = SteadyNow() - started_at_};
 }
 
-void Frontend::SubmitJob(Session* session, Job job) {
+void Frontend::SubmitJob(Session* session, Job job, Micros waited) {
   const std::uint64_t client = next_client_++;
   producer_by_client_[client] = session;
   session->AddPendingPush(client, job.id);
   ++pushed_;
-  sink_->Post(RequestReceived{{ClientRef::Frontend::kFaktory, client}, std::move(job)});
+  sink_->Post(RequestReceived{
+      .client = {ClientRef::Frontend::kFaktory, client}, .job = std::move(job), .waited = waited});
 }
 
 void Frontend::Reply(std::uint64_t client, const FinalAnswer& answer) {
@@ -123,6 +128,11 @@
   session->AnswerPush(client, answer);
 }
 
+bool Frontend::ClientDisconnected(std::uint64_t client) const {
+  const auto found = producer_by_client_.find(client);
+  return found != producer_by_client_.end() && found->second->PeerHasClosed();
+}
+
 void Frontend::Start(const StartAttempt& start) { workers_.Start(start); }
 
 void Frontend::Stop(AttemptId attempt) { workers_.Stop(attempt); }
--- a/src/faktory/frontend.h
+++ b/src/faktory/frontend.h
@@ -16,6 +16,7 @@
 #include "faktory/worker_registry.h"
 #include "net/endpoint.h"
 #include "net/event_ptr.h"
+#include "net/request_memory.h"
 #include "net/timer.h"
 
 namespace aldersill::faktory {
@@ -44,6 +45,8 @@
 
   // Answers a producer's job. Does nothing if the producer has disconnected.
   void Reply(std::uint64_t client, const FinalAnswer& answer);
+  // Returns whether the producer has closed its connection, even if ClientLeft has not been posted yet.
+  bool ClientDisconnected(std::uint64_t client) const;
   // Carry out the core's effects on attempts (worker_registry.h).
   void Start(const StartAttempt& start);
   void Stop(AttemptId attempt);
@@ -67,7 +70,7 @@
   Micros drain_began() const override { return drain_began_; }
   bool answers_due() const override { return drain_->answers_due(); }
   ServerInfo GetInfo() const override;
-  void SubmitJob(Session* session, Job job) override;
+  void SubmitJob(Session* session, Job job, Micros waited) override;
   void ConnectWorker(Session* session, const Hello& hello) override { workers_.Connect(session, hello); }
   void RecordHeartbeat(const std::string& worker) override { workers_.RecordHeartbeat(worker); }
   void ParkFetch(Session* session) override { workers_.ParkFetch(session); }
@@ -85,6 +88,7 @@
   EventSink* sink_;
   const DrainStatus* drain_;
   EventPtr<evconnlistener> listener_;
+  RequestMemory input_memory_;
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
   WorkerRegistry workers_;
   std::unordered_map<std::uint64_t, Session*> producer_by_client_;  // sessions of unanswered jobs
--- a/src/faktory/session.cpp
+++ b/src/faktory/session.cpp
@@ -1,11 +1,13 @@
 #include "faktory/session.h"
 
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
-#include <cstdlib>
 
 #include "core/text.h"
+#include "net/peer_state.h"
+#include "net/tcp_arrival.h"
 
 namespace aldersill::faktory {
 namespace {
@@ -13,15 +15,22 @@
 // Equal to the maximum size of a body in the platform's protocol.
 constexpr std::size_t kMaxLineBytes = std::size_t{64} * 1024;
 constexpr Micros kHelloTimeout = 5 * kSecond;
+// An error may be written while the peer still sends. Closing at once would reset the connection and lose the
+// error, so the input is read and dropped for this long.
+constexpr Micros kLingerTimeout = 3 * kSecond;
 constexpr Micros kNewSessionGrace = 600 * kMillisecond;
+constexpr Micros kOverloadRetryAfter = 500 * kMillisecond;
 // Closes the session of a peer that does not read its replies.
 constexpr timeval kWriteTimeout = {120, 0};
 
+std::string NackText(Micros retry_after, const std::string& reason) {
+  return "NACK retry-after=" + DecimalSeconds(retry_after) + " " + reason;
+}
+
 // Returns the text after "-ERR". A rejection says when to retry; after a failure, the job may have run.
 std::string ErrorText(const FinalAnswer& answer) {
   if (const auto* rejection = std::get_if<Rejection>(&answer))
-    return "NACK retry-after=" + DecimalSeconds(rejection->retry_after) +
-           " refused: pushing again is harmless";
+    return NackText(rejection->retry_after, "refused: pushing again is harmless");
   switch (std::get<Failure>(answer).reason) {
     case Failure::Reason::kTooLate:
       return "FAILED no answer in time: it may have run";
@@ -35,12 +44,13 @@
 
 }  // namespace
 
-Session::Session(event_base* base, SessionHost* host, evutil_socket_t fd)
+Session::Session(event_base* base, SessionHost* host, RequestMemory* memory, evutil_socket_t fd)
     : host_(host),
       stream_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+      input_(bufferevent_get_input(stream_.get()), memory),
+      discarder_(base, [this](InputDiscarder::End) { host_->CloseSession(this); }),
       timer_(base, [this] { HandleTimeout(); }) {
   bufferevent_setcb(stream_.get(), &Session::OnReadable, &Session::OnWritten, &Session::OnStreamEvent, this);
-  bufferevent_setwatermark(stream_.get(), EV_READ, 0, 2 * kMaxLineBytes);
   bufferevent_set_timeouts(stream_.get(), nullptr, &kWriteTimeout);
   bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
   Write(SimpleString("HI {\"v\":2}"));
@@ -50,7 +60,7 @@
 bool Session::IsIdle(Micros drain_began) const {
   // A session that was accepted during the drain, or that has sent part of a line, is expected to send a
   // command soon.
-  const bool has_partial_line = evbuffer_get_length(bufferevent_get_input(stream_.get())) != 0;
+  const bool has_partial_line = input_.size() != 0;
   const bool in_grace =
       SteadyNow() - std::max(accepted_, drain_began) < kNewSessionGrace && !host_->answers_due();
   if ((accepted_ >= drain_began || has_partial_line) && in_grace)
@@ -62,6 +72,8 @@
          ioctl(bufferevent_getfd(stream_.get()), FIONREAD, &unread) == 0 && unread == 0;
 }
 
+bool Session::PeerHasClosed() const { return aldersill::PeerHasClosed(bufferevent_getfd(stream_.get())); }
+
 void Session::AnswerPush(std::uint64_t client, const FinalAnswer& answer) {
   const auto push = std::find_if(pending_pushes_.begin(), pending_pushes_.end(),
                                  [client](const PendingPush& pending) { return pending.client == client; });
@@ -78,7 +90,9 @@
     FinishBulk();
 }
 
-void Session::OnReadable(bufferevent* /*stream*/, void* self) { static_cast<Session*>(self)->ReadCommands(); }
+void Session::OnReadable(bufferevent* /*stream*/, void* self) {
+  static_cast<Session*>(self)->HandleReadable();
+}
 
 void Session::OnWritten(bufferevent* /*stream*/, void* self) { static_cast<Session*>(self)->HandleWritten(); }
 
@@ -91,6 +105,8 @@
 void Session::HandleTimeout() {
   if (state_ == State::kGreeting)
     return host_->CloseSession(this);  // The peer has sent no HELLO.
+  if (state_ == State::kEnding)
+    return host_->CloseSession(this);  // The peer has not closed the connection after an error.
   if (state_ != State::kFetching)
     return;
   host_->CancelFetch(this);
@@ -104,6 +120,10 @@
   const bool drained = drain_began != 0 && worker_.empty() && IsIdle(drain_began);
   const bool ended =
       state_ == State::kEnding && evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
+  if (ended && discarder_.active()) {
+    shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
+    return timer_.Set(kLingerTimeout);
+  }
   if (drained || ended)
     host_->CloseSession(this);
 }
@@ -124,30 +144,40 @@
   Write(last_reply);
 }
 
-void Session::ReadCommands() {
-  evbuffer* input = bufferevent_get_input(stream_.get());
+void Session::HandleReadable() {
+  const evutil_socket_t fd = bufferevent_getfd(stream_.get());
+  if (!input_.RecordArrival(SteadyNow() - TimeSinceLastReceive(fd)) && !discarder_.active()) {
+    bufferevent_disable(stream_.get(), EV_READ);
+    discarder_.Start(fd);
+  }
+  RunCommands();
+}
+
+void Session::RunCommands() {
   while (state_ == State::kGreeting || state_ == State::kReady) {
-    std::size_t size = 0;
-    char* line = evbuffer_readln(input, &size, EVBUFFER_EOL_CRLF);
-    if (line == nullptr) {
-      if (evbuffer_get_length(input) > kMaxLineBytes)
-        EndWith(Error("ERR", "command too long"));
-      return;
-    }
-    const std::string text(line, size);
-    std::free(line);
-    if (!RunLine(text))
+    const std::optional<CommandLine> line = input_.TakeLine();
+    if (!line)
+      return HandleIncompleteCommand();
+    if (!RunLine(*line))
       return;
   }
 }
 
-bool Session::RunLine(const std::string& line) {
-  if (line.size() > kMaxLineBytes) {
+void Session::HandleIncompleteCommand() {
+  if (discarder_.active())
+    return EndWith(Error(
+        "ERR", NackText(kOverloadRetryAfter, "refused: too many bytes wait behind an unanswered command")));
+  if (input_.size() > kMaxLineBytes)
+    EndWith(Error("ERR", "command too long"));
+}
+
+bool Session::RunLine(const CommandLine& line) {
+  if (line.text.size() > kMaxLineBytes) {
     EndWith(Error("ERR", "command too long"));
     return false;
   }
   try {
-    Run(DecodeCommand(line));
+    Run(DecodeCommand(line.text), line.arrived_at);
   } catch (const BadCommand& error) {
     if (state_ == State::kGreeting) {
       EndWith(Error("ERR", error.what()));
@@ -158,15 +188,15 @@
   return true;
 }
 
-void Session::Run(const Command& command) {
+void Session::Run(const Command& command, Micros arrived_at) {
   if (state_ == State::kGreeting)
     return Greet(command);
   if (!worker_.empty())
     host_->RecordHeartbeat(worker_);
   if (command.verb == "PUSH")
-    return Push(command.argument);
+    return Push(command.argument, arrived_at);
   if (command.verb == "PUSHB")
-    return PushBulk(command.argument);
+    return PushBulk(command.argument, arrived_at);
   if (command.verb == "FETCH")
     return Fetch();
   if (command.verb == "ACK")
@@ -195,13 +225,13 @@
     host_->ConnectWorker(this, hello);
 }
 
-void Session::Push(const std::string& argument) {
+void Session::Push(const std::string& argument, Micros arrived_at) {
   Job job = DecodePush(argument, host_->classes());
   state_ = State::kPushing;
-  host_->SubmitJob(this, std::move(job));
+  host_->SubmitJob(this, std::move(job), SteadyNow() - arrived_at);
 }
 
-void Session::PushBulk(const std::string& argument) {
+void Session::PushBulk(const std::string& argument, Micros arrived_at) {
   std::vector<BulkPushItem> pushed_items = DecodePushBulk(argument, host_->classes());
   state_ = State::kPushingBulk;
   bulk_errors_.clear();
@@ -209,7 +239,7 @@
   submitting_bulk_ = true;
   for (BulkPushItem& pushed : pushed_items) {
     if (pushed.job)
-      host_->SubmitJob(this, std::move(*pushed.job));
+      host_->SubmitJob(this, std::move(*pushed.job), SteadyNow() - arrived_at);
     else
       bulk_errors_.emplace_back(pushed.jid, pushed.error);
   }
--- a/src/faktory/session.h
+++ b/src/faktory/session.h
@@ -9,8 +9,11 @@
 
 #include "core/types.h"
 #include "faktory/codec.h"
+#include "faktory/command_input.h"
 #include "faktory/resp.h"
 #include "net/event_ptr.h"
+#include "net/input_discarder.h"
+#include "net/request_memory.h"
 #include "net/steady_clock.h"
 #include "net/timer.h"
 
@@ -30,8 +33,8 @@
   // Whether the process is exiting and all answers must be written by now.
   virtual bool answers_due() const = 0;
   virtual ServerInfo GetInfo() const = 0;
-  // Calls AddPendingPush and posts the producer's job to the core.
-  virtual void SubmitJob(Session* session, Job job) = 0;
+  // Calls AddPendingPush and posts the producer's job to the core. `waited`: the time since the job arrived.
+  virtual void SubmitJob(Session* session, Job job, Micros waited) = 0;
   // Assigns the session to the worker that `hello` names; calls BecomeWorker.
   virtual void ConnectWorker(Session* session, const Hello& hello) = 0;
   virtual void RecordHeartbeat(const std::string& worker) = 0;
@@ -57,8 +60,9 @@
     std::string jid;
   };
 
-  // Takes ownership of the descriptor. `host` must outlive the session.
-  Session(event_base* base, SessionHost* host, evutil_socket_t fd);
+  // Takes ownership of the descriptor. `host` and `memory` must outlive the session. `memory` limits the
+  // waiting input of all sessions.
+  Session(event_base* base, SessionHost* host, RequestMemory* memory, evutil_socket_t fd);
 
   // The worker's name; empty for a producer.
   const std::string& worker() const { return worker_; }
@@ -74,6 +78,9 @@
   // sent or is about to send.
   bool IsIdle(Micros drain_began) const;
 
+  // Returns whether the kernel has seen the peer close or reset the connection.
+  bool PeerHasClosed() const;
+
   // Answers the parked FETCH with a job, which is already encoded as a reply.
   void DeliverFetch(const std::string& reply) { Reply(reply); }
   // Answers a pending push. Does nothing if it is not pending.
@@ -94,13 +101,17 @@
   // Writes a last reply, after which the session closes.
   void EndWith(const std::string& last_reply);
 
-  void ReadCommands();
-  // Runs one command line. Returns false if the session ends.
-  bool RunLine(const std::string& line);
-  void Run(const Command& command);
+  void HandleReadable();
+  // Runs the commands that wait, until one of them has to wait for its reply.
+  void RunCommands();
+  // Handles that no complete command waits.
+  void HandleIncompleteCommand();
+  // Runs one command. Returns false if the session ends.
+  bool RunLine(const CommandLine& line);
+  void Run(const Command& command, Micros arrived_at);
   void Greet(const Command& command);
-  void Push(const std::string& argument);
-  void PushBulk(const std::string& argument);
+  void Push(const std::string& argument, Micros arrived_at);
+  void PushBulk(const std::string& argument, Micros arrived_at);
   void FinishBulk();
   void Fetch();
   void End();
@@ -109,6 +120,9 @@
 
   SessionHost* host_;
   EventPtr<bufferevent> stream_;
+  CommandInput input_;
+  // Active once more input has arrived than may wait: the rest is not run.
+  InputDiscarder discarder_;
   Timer timer_;
   const Micros accepted_ = SteadyNow();
   State state_ = State::kGreeting;
--- a/src/faktory/worker_registry.cpp
+++ b/src/faktory/worker_registry.cpp
@@ -5,6 +5,7 @@
 
 #include "faktory/resp.h"
 #include "log/log.h"
+#include "net/steady_clock.h"
 
 namespace aldersill::faktory {
 namespace {
@@ -88,16 +89,24 @@
 
 void WorkerRegistry::ParkFetch(Session* session) {
   Worker& worker = Find(*session);
-  if (!worker.unsent.empty()) {
-    const StartAttempt next = std::move(worker.unsent.front());
-    worker.unsent.pop_front();
-    return Deliver(&worker, session, next);
-  }
+  if (const std::optional<UnsentAttempt> next = TakeUnsent(&worker))
+    return Deliver(&worker, session, *next);
   worker.parked_fetches.push_back(session);
   if (worker.endpoint.state == WorkerEndpoint::State::kReady)
     PostFreeSlots(worker);
 }
 
+// Drops attempts whose time is over. The core's timers, which may fire late, end them.
+std::optional<WorkerRegistry::UnsentAttempt> WorkerRegistry::TakeUnsent(Worker* worker) {
+  while (!worker->unsent.empty()) {
+    UnsentAttempt next = std::move(worker->unsent.front());
+    worker->unsent.pop_front();
+    if (next.give_up_at > SteadyNow())
+      return next;
+  }
+  return std::nullopt;
+}
+
 void WorkerRegistry::CancelFetch(Session* session) {
   if (session->has_parked_fetch())
     std::erase(Find(*session).parked_fetches, session);
@@ -141,18 +150,20 @@
   }
   Worker& worker = found->second;
   attempts_[start.attempt] = start.worker;
+  UnsentAttempt unsent{.start = start, .give_up_at = SteadyNow() + start.time_left};
   if (worker.parked_fetches.empty()) {
-    worker.unsent.push_back(start);  // The core limits the waiting time.
+    worker.unsent.push_back(std::move(unsent));  // The core limits the waiting time.
     return;
   }
   Session* session = worker.parked_fetches.front();
   worker.parked_fetches.pop_front();
-  Deliver(&worker, session, start);
+  Deliver(&worker, session, unsent);
 }
 
-void WorkerRegistry::Deliver(Worker* worker, Session* session, const StartAttempt& start) {
+void WorkerRegistry::Deliver(Worker* worker, Session* session, const UnsentAttempt& unsent) {
+  const StartAttempt& start = unsent.start;
   worker->in_flight.emplace(start.job->id, InFlightJob{start.attempt, session});
-  session->DeliverFetch(BulkString(EncodeFetched(*start.job, start.time_left)));
+  session->DeliverFetch(BulkString(EncodeFetched(*start.job, unsent.give_up_at - SteadyNow())));
   sink_->Post(AttemptSent{start.attempt});
 }
 
@@ -165,7 +176,7 @@
   if (found_worker == workers_.end())
     return;  // The worker is lost with all its attempts.
   Worker& worker = found_worker->second;
-  std::erase_if(worker.unsent, [attempt](const auto& start) { return start.attempt == attempt; });
+  std::erase_if(worker.unsent, [attempt](const auto& unsent) { return unsent.start.attempt == attempt; });
   const auto job = std::find_if(worker.in_flight.begin(), worker.in_flight.end(),
                                 [&](const auto& entry) { return entry.second.attempt == attempt; });
   if (job == worker.in_flight.end())
@@ -192,8 +203,8 @@
   worker.endpoint.state = WorkerEndpoint::State::kGone;
   PostEndpoint(worker);
   PostAbandonedEnded(worker);
-  for (const StartAttempt& start : worker.unsent)
-    EndAttempt(start.attempt, Outcome::kConnectFailed);
+  for (const UnsentAttempt& unsent : worker.unsent)
+    EndAttempt(unsent.start.attempt, Outcome::kConnectFailed);
   for (const AttemptId attempt : in_flight)
     EndAttempt(attempt, Outcome::kLost);
 }
--- a/src/faktory/worker_registry.h
+++ b/src/faktory/worker_registry.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,12 +64,16 @@
     AttemptId attempt{};
     const Session* session = nullptr;  // session that fetched the job; null after its END
   };
+  struct UnsentAttempt {
+    StartAttempt start;
+    Micros give_up_at = 0;
+  };
   struct Worker {
     WorkerEndpoint endpoint;
     int sessions = 0;
     bool is_quiet = false;                                        // set by a BEAT
     std::deque<Session*> parked_fetches;                          // oldest first
-    std::deque<StartAttempt> unsent;                              // attempts that are waiting for a FETCH
+    std::deque<UnsentAttempt> unsent;                             // wait for a FETCH
     std::unordered_multimap<std::string, InFlightJob> in_flight;  // by jid
     std::unordered_multimap<std::string, AttemptId>
         abandoned;                   // by jid; stopped by the core and not yet acknowledged
@@ -77,7 +82,8 @@
 
   Worker& Find(const Session& session) { return workers_.at(session.worker()); }
   void InitializeWorker(const std::string& name, const Hello& hello, Worker* worker);
-  void Deliver(Worker* worker, Session* session, const StartAttempt& start);
+  static std::optional<UnsentAttempt> TakeUnsent(Worker* worker);
+  void Deliver(Worker* worker, Session* session, const UnsentAttempt& unsent);
   // Sets the session of the session's in-flight jobs to null and returns their attempts.
   static std::vector<AttemptId> DetachInFlight(Worker* worker, const Session* session);
   void RemoveWorker(const std::string& name);
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -3,10 +3,10 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#include <cerrno>
 #include <string_view>
 #include <utility>
 
+#include "net/peer_state.h"
 #include "net/tcp_arrival.h"
 
 namespace aldersill {
@@ -169,9 +169,7 @@
 }
 
 bool ClientConnection::PeerHasClosed() const {
-  char next = 0;
-  const ssize_t size = recv(bufferevent_getfd(stream_.get()), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-  return size == 0 || (size < 0 && errno == ECONNRESET);
+  return aldersill::PeerHasClosed(bufferevent_getfd(stream_.get()));
 }
 
 bool ClientConnection::HasUnreadBytes() const {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -10,10 +10,10 @@
 #include "core/drain_schedule.h"
 #include "core/types.h"
 #include "http/http_response.h"
-#include "http/input_discarder.h"
-#include "http/request_memory.h"
 #include "http/request_reader.h"
 #include "net/event_ptr.h"
+#include "net/input_discarder.h"
+#include "net/request_memory.h"
 #include "net/steady_clock.h"
 #include "net/timer.h"
 
@@ -90,8 +90,7 @@
   // its last byte.
   Micros TimeSinceArrival() const { return SteadyNow() - last_byte_at_; }
 
-  // Whether the kernel has seen the peer close or reset the connection. Unread bytes before the close hide
-  // it, but only until the event loop reads them.
+  // Whether the kernel has seen the peer close or reset the connection.
   bool PeerHasClosed() const;
 
   // Returns what another process needs to respond to the request in flight. Returns nothing if no request is
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -13,7 +13,6 @@
 namespace aldersill {
 namespace {
 
-constexpr Micros kLateRequestRetryAfter = 500 * kMillisecond;
 constexpr const char* kReadinessPath = "/-/ready";
 
 PortSharing SharingOf(const HttpFrontendSettings& settings) {
@@ -111,14 +110,11 @@
     HandleRejection(400, error.what(), id);
     return connection->Respond({.status = 400, .body = std::string(error.what()) + "\n", .headers = ""});
   }
-  job.time_left -= connection->TimeSinceArrival();
-  if (job.time_left <= 0) {
-    HandleRejection(503, "its deadline had passed when it was read", id);
-    return connection->Respond(RejectionResponse(kLateRequestRetryAfter));
-  }
   const std::uint64_t client = connections_.StartRequest(connection);
   connection->AwaitAnswer(client);
-  sink_->Post(RequestReceived{{ClientRef::Frontend::kHttp, client}, std::move(job)});
+  sink_->Post(RequestReceived{.client = {ClientRef::Frontend::kHttp, client},
+                              .job = std::move(job),
+                              .waited = connection->TimeSinceArrival()});
 }
 
 void HttpFrontend::RespondToReadinessCheck(ClientConnection* connection) {
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -17,9 +17,9 @@
 #include "http/connection_acceptor.h"
 #include "http/connection_table.h"
 #include "http/rejection_log_throttle.h"
-#include "http/request_memory.h"
 #include "net/event_ptr.h"
 #include "net/listener.h"
+#include "net/request_memory.h"
 #include "net/timer.h"
 
 namespace aldersill {
--- a/src/log/trace.cpp
+++ b/src/log/trace.cpp
@@ -12,8 +12,8 @@
                                      "connect_failed", "lost",  "cancelled", "not_sent"};
 
 // Indexed by Rejection::Reason.
-constexpr const char* kRejectionReasons[] = {"nothing_sent", "no_ready_worker", "after_attempts",
-                                             "duplicate_in_flight", "draining"};
+constexpr const char* kRejectionReasons[] = {"nothing_sent",        "no_ready_worker", "after_attempts",
+                                             "duplicate_in_flight", "draining",        "read_too_late"};
 
 const char* NameOf(Outcome outcome) { return kOutcomes[static_cast<std::size_t>(outcome)]; }
 
--- a/src/http/input_discarder.cpp
+++ b/src/net/input_discarder.cpp
@@ -1,4 +1,4 @@
-#include "http/input_discarder.h"
+#include "net/input_discarder.h"
 
 #include <sys/socket.h>
 
--- a/src/http/input_discarder.h
+++ b/src/net/input_discarder.h
@@ -1,6 +1,6 @@
 // Discards everything that a peer still sends: its close is noticed, and no input is stored.
-#ifndef ALDERSILL_SRC_HTTP_INPUT_DISCARDER_H_
-#define ALDERSILL_SRC_HTTP_INPUT_DISCARDER_H_
+#ifndef ALDERSILL_SRC_NET_INPUT_DISCARDER_H_
+#define ALDERSILL_SRC_NET_INPUT_DISCARDER_H_
 
 #include <cstddef>
 #include <functional>
@@ -37,4 +37,4 @@
 
 }  // namespace aldersill
 
-#endif  // ALDERSILL_SRC_HTTP_INPUT_DISCARDER_H_
+#endif  // ALDERSILL_SRC_NET_INPUT_DISCARDER_H_
--- a/src/http/request_memory.h
+++ b/src/net/request_memory.h
@@ -1,6 +1,6 @@
 // Limits the memory for incomplete requests over all client connections.
-#ifndef ALDERSILL_SRC_HTTP_REQUEST_MEMORY_H_
-#define ALDERSILL_SRC_HTTP_REQUEST_MEMORY_H_
+#ifndef ALDERSILL_SRC_NET_REQUEST_MEMORY_H_
+#define ALDERSILL_SRC_NET_REQUEST_MEMORY_H_
 
 #include <cstddef>
 
@@ -42,4 +42,4 @@
 
 }  // namespace aldersill
 
-#endif  // ALDERSILL_SRC_HTTP_REQUEST_MEMORY_H_
+#endif  // ALDERSILL_SRC_NET_REQUEST_MEMORY_H_
--- a/tests/daemon/client_requests_test.cpp
+++ b/tests/daemon/client_requests_test.cpp
@@ -87,6 +87,10 @@
 }
 
 TEST_CASE("no retry starts when the disconnect arrives together with the loss of the attempt") {
+  // Unread bytes before the close used to hide it.
+  std::string sent_before_close;
+  SUBCASE("nothing is unread before the close") {}
+  SUBCASE("bytes are unread before the close") { sent_before_close = std::string(50'000, 'x'); }
   const Socket worker_a = tools::ListenOn(0), worker_b = tools::ListenOn(0);
   nlohmann::json servers;
   for (const Socket* listener : {&worker_a, &worker_b})
@@ -103,6 +107,7 @@
   REQUIRE(!Receive(attempt, "\r\n\r\n").text.empty());
   scenario.daemon->Suspend();
   attempt.Close();
+  REQUIRE(Send(client, sent_before_close));
   client.Close();
   scenario.daemon->Signal(SIGCONT);
   scenario.daemon->Signal(SIGTERM);
--- /dev/null
+++ b/tests/daemon/faktory_session_test.cpp
@@ -0,0 +1,97 @@
+// Tests of the running program's Faktory sessions: pipelined commands, clients that leave, times and bodies.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "stand_ins.h"
+#include "two_frontends.h"
+
+namespace aldersill::tests {
+namespace {
+
+using std::chrono::milliseconds;
+using tools::FaktorySession;
+
+// Pushes that take up at least this many bytes.
+std::string PushesOf(std::size_t bytes, const std::string& jid_prefix) {
+  std::string pushes;
+  for (int number = 1; pushes.size() < bytes; ++number)
+    pushes += PushCommand(jid_prefix + std::to_string(number)) + "\r\n";
+  return pushes;
+}
+
+// Guards against a job that runs after its client has given up: the deadline of a push that waited behind
+// another one used to count from when it was read.
+TEST_CASE("the deadline of a pipelined push counts from its last byte") {
+  TwoFrontends dispatcher;
+  FaktorySession producer(dispatcher.faktory_port());
+  producer.wire().Write(PushCommand("first") + "\r\n" + PushCommand("second", 500) + "\r\n");
+  CHECK(dispatcher.Fetch() == "first");
+  std::this_thread::sleep_for(milliseconds(600));
+  dispatcher.Acknowledge("first", "");
+  CHECK(producer.wire().ReadLine() == "+OK");
+  CHECK(producer.wire().ReadLine().starts_with("-ERR NACK retry-after="));
+  CHECK(dispatcher.NothingToFetch());
+}
+
+// Guards against jobs of a client that has gone: a session with much unread input did not notice the close.
+TEST_CASE("pushes of a client that has gone are not begun, however many wait") {
+  TwoFrontends dispatcher;
+  int clients = 0;
+  for (const std::size_t waiting : {std::size_t{1'000}, std::size_t{400'000}, std::size_t{1'600'000}}) {
+    CAPTURE(waiting);
+    const std::string first = "first-" + std::to_string(++clients);
+    {
+      FaktorySession producer(dispatcher.faktory_port());
+      producer.wire().Write(PushCommand(first) + "\r\n" + PushesOf(waiting, first + "-"));
+      CHECK(dispatcher.Fetch() == first);
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    dispatcher.Acknowledge(first, "");
+    CHECK(dispatcher.NothingToFetch());
+  }
+}
+
+TEST_CASE("more input than may wait ends a session after the answers to what was read") {
+  TwoFrontends dispatcher;
+  FaktorySession producer(dispatcher.faktory_port());
+  const std::string invalid = "PUSH {\"jid\":\"x\",\"pad\":\"" + std::string(1'000, '-') + "\"}\r\n";
+  std::string commands = PushCommand("first") + "\r\n";
+  int sent = 0;
+  for (; commands.size() < 2'000'000; ++sent)
+    commands += invalid;
+  producer.wire().Write(commands);
+  CHECK(dispatcher.Fetch() == "first");
+  dispatcher.Acknowledge("first", "");
+  CHECK(producer.wire().ReadLine() == "+OK");
+  int answered = 0;
+  std::string reply = producer.wire().ReadLine();
+  for (; reply == "-ERR jobtype is missing"; reply = producer.wire().ReadLine())
+    ++answered;
+  CHECK(reply.starts_with("-ERR NACK retry-after=0.5"));
+  CHECK(answered > 900);
+  CHECK(answered < sent);
+  CHECK_THROWS(producer.wire().ReadLine());
+}
+
+TEST_CASE("a job that waited for a FETCH is delivered with the time that is left by then") {
+  constexpr int kTimeMs = 4'000;
+  constexpr int kWaitMs = 1'000;
+  TwoFrontends dispatcher;
+  FaktorySession producer(dispatcher.faktory_port());
+  producer.wire().Write(PushCommand("job", kTimeMs) + "\r\n");
+  std::this_thread::sleep_for(milliseconds(kWaitMs));
+  const nlohmann::json job = dispatcher.FetchJob();
+  CHECK(job.at("custom").at("deadline_ms") <= kTimeMs - kWaitMs);
+  dispatcher.Acknowledge("job", "");
+  CHECK(producer.wire().ReadLine() == "+OK");
+}
+
+}  // namespace
+}  // namespace aldersill::tests
--- a/tests/daemon/two_frontends_test.cpp
+++ b/tests/daemon/two_frontends_test.cpp
@@ -1,11 +1,12 @@
 // Tests of the running program with both frontends: one rule applies, whichever frontend receives a job.
+#include "two_frontends.h"
+
 #include <doctest/doctest.h>
 
 #include <chrono>
 #include <csignal>
 #include <exception>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
 #include <thread>
 
@@ -20,54 +21,6 @@
 using tools::FaktorySession;
 using Clock = std::chrono::steady_clock;
 
-constexpr int kDeadlineMs = 20'000;
-
-std::string PushCommand(const std::string& jid) {
-  const nlohmann::json job = {{"jid", jid},
-                              {"jobtype", "cobro"},
-                              {"args", {1}},
-                              {"custom", {{"tenant", kTenant}, {"deadline_ms", kDeadlineMs}}}};
-  return "PUSH " + job.dump();
-}
-
-const nlohmann::json kBothFrontends = {{"faktory", {{"enabled", true}, {"listen", "127.0.0.1:0"}}}};
-
-nlohmann::json Config() {
-  nlohmann::json config = ConfigWithoutDiscovery();
-  RaiseTenantQuotas(&config);
-  return config;
-}
-
-// The program with both frontends and one Faktory worker, which the test code impersonates.
-class TwoFrontends {
- public:
-  TwoFrontends() : daemon(Config(), kBothFrontends), worker(faktory_port(), "w1") {}
-
-  std::uint16_t faktory_port() const { return daemon.ports().at("faktory"); }
-
-  std::string Push(const std::string& jid) const {
-    FaktorySession producer(faktory_port());
-    return producer.SendCommand(PushCommand(jid)).value();
-  }
-  tools::HttpMessage Post(const std::string& id) const {
-    tools::Wire client(tools::ConnectTo(daemon.ports().at("http")));
-    return tools::Post(&client, "cobro", id, kTenant, kDeadlineMs, "x");
-  }
-  // Waits for the next job and returns its id.
-  std::string Fetch() {
-    std::optional<std::string> fetched;
-    while (!fetched)
-      fetched = worker.SendCommand("FETCH default");
-    return nlohmann::json::parse(*fetched).at("jid");
-  }
-  void Acknowledge(const std::string& jid, const std::string& result) {
-    CHECK(worker.SendCommand("ACK " + nlohmann::json{{"jid", jid}, {"result", result}}.dump()) == "+OK");
-  }
-
-  DaemonUnderTest daemon;
-  FaktorySession worker;
-};
-
 // Guards against a client that is answered with the result of another client's job: a push with the id of an
 // HTTP client's open request used to run, and its ACK answered the HTTP client.
 TEST_CASE("a push with the id of an open HTTP request is refused, and the request gets its own result") {
@@ -102,10 +55,10 @@
 // used to keep its own deadline.
 TEST_CASE("a push late in the drain is answered before SIGKILL") {
   BlockedWorker worker;
-  nlohmann::json config = Config();
+  nlohmann::json config = TwoFrontends::PlatformConfig();
   config["known"]["servers"] = {KnownServer("s-1", worker.port())};
   for (int tries = 0;; ++tries) {
-    DaemonUnderTest daemon(config, kBothFrontends);
+    DaemonUnderTest daemon(config, TwoFrontends::OperatorSettings());
     const auto signalled_at = Clock::now();
     daemon.Signal(SIGTERM);
     REQUIRE(daemon.WaitForLogLine("draining"));
