Pass a body that is not UTF-8 to Faktory workers unchanged, in base64

What callers saw: bytes of an HTTP body that are not UTF-8 reached a Faktory worker as U+FFFD. Such a push got "-ERR not JSON".

Change: such a body comes in base64, and custom.args_encoding says so. The encoder takes the body of a pushed job only as a PushedDocument, which is a JSON object by construction; a body that is none is encoded like any other bytes, where the encoder used to throw. A push that is not UTF-8 is refused with a text that says so. A tenant with control characters is refused: it was written into a header for HTTP workers as it was.

--- a/src/faktory/codec.cpp
+++ b/src/faktory/codec.cpp
@@ -1,8 +1,11 @@
 #include "faktory/codec.h"
 
+#include <sodium.h>
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace aldersill::faktory {
 namespace {
@@ -11,13 +14,74 @@
 
 constexpr std::size_t kMaxIdBytes = 256;
 
+bool IsUtf8(std::string_view text) {
+  try {
+    static_cast<void>(Json(text).dump());
+    return true;
+  } catch (const Json::type_error&) {
+    return false;
+  }
+}
+
 Json Parse(std::string_view text) {
   Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (json.is_discarded())
-    throw BadCommand("not JSON");
+  if (!json.is_discarded())
+    return json;
+  throw BadCommand(IsUtf8(text) ? "not JSON" : "not UTF-8: send text as UTF-8, and other bytes in base64");
+}
+
+// Bytes in base64 with padding (RFC 4648, section 4).
+std::string ToBase64(const std::string& bytes) {
+  std::string text(sodium_base64_ENCODED_LEN(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+  sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
+  text.pop_back();  // the terminating zero
+  return text;
+}
+
+// A pushed job as JSON. It is always an object, and its `custom` is one if it is present.
+class PushedDocument {
+ public:
+  // Returns nothing unless the body is such a document.
+  static std::optional<PushedDocument> FromBody(std::string_view body) {
+    Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+    if (!json.is_object() || !(json.value("custom", Json()).is_null() || json["custom"].is_object()))
+      return std::nullopt;
+    return PushedDocument(std::move(json));
+  }
+
+  const Json& json() const { return json_; }
+
+ private:
+  explicit PushedDocument(Json json) : json_(std::move(json)) {}
+
+  Json json_;
+};
+
+// A job that was not pushed, as its one argument: the body, which is encoded unless it is UTF-8.
+Json DocumentOfBody(const Job& job) {
+  const bool is_text = IsUtf8(job.body);
+  Json json = {{"jid", job.id}, {"jobtype", job.job_class}, {"custom", Json::object()}};
+  json["args"] = Json::array({is_text ? job.body : ToBase64(job.body)});
+  Json& custom = json["custom"];
+  if (!is_text)
+    custom["args_encoding"] = "base64";
+  custom["target"] = job.target;
+  if (!job.tenant.empty())
+    custom["tenant"] = job.tenant;
+  if (!job.idempotency_key.empty())
+    custom["idempotency_key"] = job.idempotency_key;
   return json;
 }
 
+Json DocumentOf(const Job& job) {
+  if (job.has_idempotent_id) {
+    if (const std::optional<PushedDocument> pushed = PushedDocument::FromBody(job.body))
+      return pushed->json();
+  }
+  return DocumentOfBody(job);
+}
+
 // Returns a string member; empty if it is absent and not required.
 std::string ReadText(const Json& json, const char* name, bool required) {
   const auto found = json.find(name);
@@ -34,12 +98,14 @@
   return text;
 }
 
+bool IsControl(unsigned char character) { return character < ' ' || character == 127; }
+
 std::string ReadId(const Json& json, const char* name) {
   std::string id = ReadText(json, name, true);
   if (id.size() > kMaxIdBytes)
     throw BadCommand(std::string(name) + " is too long");
   // The id is also written into headers and log lines.
-  if (std::any_of(id.begin(), id.end(), [](unsigned char c) { return c <= ' ' || c == 127; }))
+  if (std::any_of(id.begin(), id.end(), [](unsigned char c) { return c == ' ' || IsControl(c); }))
     throw BadCommand(std::string(name) + " must hold no blanks or controls");
   return id;
 }
@@ -61,6 +127,9 @@
     if (!custom->is_object())
       throw BadCommand("custom must be an object");
     job.tenant = ReadText(*custom, "tenant", false);
+    // The tenant is also written into a header.
+    if (std::any_of(job.tenant.begin(), job.tenant.end(), IsControl))
+      throw BadCommand("custom.tenant must hold no controls");
     if (const auto deadline = custom->find("deadline_ms"); deadline != custom->end()) {
       if (!deadline->is_number())
         throw BadCommand("custom.deadline_ms must be a number");
@@ -80,7 +149,7 @@
   job.idempotency_key = job.id;
   job.target = "/" + job.job_class;
   job.content_type = "application/json";
-  job.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  job.body = json.dump();
   return job;
 }
 
@@ -146,21 +215,11 @@
 
 std::string EncodeFetched(const Job& job, Micros time_left) {
   const int reserve_for = static_cast<int>((time_left + kSecond - 1) / kSecond);
-  Json json;
-  if (job.has_idempotent_id) {
-    json = Json::parse(job.body, nullptr, false);
-  } else {
-    json = {{"jid", job.id}, {"jobtype", job.job_class}, {"args", {job.body}}, {"custom", Json::object()}};
-    json["custom"]["target"] = job.target;
-    if (!job.tenant.empty())
-      json["custom"]["tenant"] = job.tenant;
-    if (!job.idempotency_key.empty())
-      json["custom"]["idempotency_key"] = job.idempotency_key;
-  }
+  Json json = DocumentOf(job);
   json["queue"] = "default";
   json["reserve_for"] = reserve_for;
   json["custom"]["deadline_ms"] = time_left / kMillisecond;
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return json.dump();
 }
 
 Ack DecodeAck(std::string_view text) {
--- a/src/faktory/codec.h
+++ b/src/faktory/codec.h
@@ -46,7 +46,8 @@
 std::string EncodePushBulkReply(const std::vector<std::pair<std::string, std::string>>& errors);
 
 // Encodes the reply to a FETCH. A job from a PUSH keeps its JSON. A job from the platform's frontend is
-// encoded as jid, jobtype, one argument (the body) and, in custom, its target, tenant and idempotency key.
+// encoded as jid, jobtype, one argument (the body) and, in custom, its target, tenant and idempotency key. A
+// body that is not UTF-8 is encoded in base64, and custom.args_encoding is then "base64".
 // Both get queue, reserve_for (seconds) and custom.deadline_ms.
 std::string EncodeFetched(const Job& job, Micros time_left);
 
--- a/tests/daemon/faktory_session_test.cpp
+++ b/tests/daemon/faktory_session_test.cpp
@@ -93,5 +93,33 @@
   CHECK(producer.wire().ReadLine() == "+OK");
 }
 
+// Guards against a body that is changed on its way to a Faktory worker, whose jobs are JSON: bytes that are
+// not UTF-8 used to be replaced.
+TEST_CASE("a body that is not UTF-8 reaches a Faktory worker in base64, and UTF-8 as it is") {
+  TwoFrontends dispatcher;
+  const std::string text = "se\xc3\xb1or";
+  for (const std::string& body : {text, std::string("\xff\x00\xfe", 3)}) {
+    const std::string id = body == text ? "text" : "bytes";
+    std::thread client([&] { CHECK(dispatcher.Post(id, body).body == "done"); });
+    const nlohmann::json job = dispatcher.FetchJob();
+    CHECK(job.at("args") == nlohmann::json::array({body == text ? text : "/wD+"}));
+    CHECK(job.at("custom").value("args_encoding", "") == (body == text ? "" : "base64"));
+    dispatcher.Acknowledge(id, "done");
+    client.join();
+  }
+}
+
+TEST_CASE("a push that is not UTF-8, or whose tenant cannot be a header, is refused") {
+  TwoFrontends dispatcher;
+  FaktorySession producer(dispatcher.faktory_port());
+  CHECK(producer.SendCommand("PUSH {\"jid\":\"j\",\"jobtype\":\"cobro\",\"args\":[\"\xff\"]}")
+            .value()
+            .starts_with("-ERR not UTF-8: "));
+  CHECK(producer.SendCommand(
+            R"(PUSH {"jid":"j","jobtype":"cobro","args":[],"custom":{"tenant":"a\r\nReq-Id: b"}})") ==
+        "-ERR custom.tenant must hold no controls");
+  CHECK(dispatcher.NothingToFetch());
+}
+
 }  // namespace
 }  // namespace aldersill::tests
