Do not evict a connection that has a request behind an unread response

Under a crowd a client that had not read its response for a second lost its next request, which was read and not parsed, without an answer.

Cause: the question for unread bytes was asked for two of the three kinds of connections that an eviction may close.

Change: PriorityForEviction asks in one place, for each kind whose input is not discarded.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -99,26 +99,27 @@
 
 // ---- Eviction, drain and transfer ----
 
-EvictionPriority ClientConnection::PriorityForEviction(Micros now, EvictionPriority lowest) const {
+EvictionPriority::Class ClientConnection::EvictionClass(Micros now) const {
   using Class = EvictionPriority::Class;
   if (state_ == State::kLingering)
-    return {.eviction_class = Class::kLingering, .since = last_progress_at_};
-  const bool response_unread = state_ == State::kWriting && now - last_progress_at_ > kUnreadResponseGrace;
-  const bool request_stalled =
-      state_ == State::kReading && reader_.started() && now - request_started_at_ > kPartialRequestGrace;
-  if (response_unread)
-    return {.eviction_class = Class::kStalled, .since = last_progress_at_};
-  const bool between_requests =
-      state_ == State::kReading && !reader_.started() && now - last_progress_at_ >= kNewConnectionGrace;
-  if (!request_stalled && !between_requests)
-    return {};
-  EvictionPriority priority{.eviction_class = Class::kStalled, .since = last_progress_at_};
-  if (between_requests)
-    priority.eviction_class = requests_read_ > 0 ? Class::kIdle : Class::kSilent;
-  // The unread bytes may complete a request.
-  if (priority < lowest && HasUnreadBytes())
+    return Class::kLingering;
+  if (state_ == State::kWriting)
+    return now - last_progress_at_ > kUnreadResponseGrace ? Class::kStalled : Class::kNotEvictable;
+  if (state_ != State::kReading)
+    return Class::kNotEvictable;
+  if (reader_.started())
+    return now - request_started_at_ > kPartialRequestGrace ? Class::kStalled : Class::kNotEvictable;
+  if (now - last_progress_at_ < kNewConnectionGrace)
+    return Class::kNotEvictable;
+  return requests_read_ > 0 ? Class::kIdle : Class::kSilent;
+}
+
+EvictionPriority ClientConnection::PriorityForEviction(Micros now, EvictionPriority lowest) const {
+  const EvictionPriority priority{.eviction_class = EvictionClass(now), .since = last_progress_at_};
+  if (priority.eviction_class == EvictionPriority::Class::kNotEvictable || priority >= lowest)
     return {};
-  return priority;
+  // Unread bytes may complete a request, except where all input is discarded.
+  return !discarder_.active() && HasUnreadBytes() ? EvictionPriority{} : priority;
 }
 
 void ClientConnection::AnswerBeforeEviction() {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -99,9 +99,9 @@
   // Takes over a connection whose request was read by another process.
   void ReceiveTransfer(std::uint64_t client, const TransferredConnection& transferred);
 
-  // `lowest` is the lowest priority found so far. A connection whose request may be complete, as it has
-  // unread bytes, is not evictable; the kernel is asked for them only if the connection would otherwise be
-  // below `lowest`.
+  // `lowest` is the lowest priority found so far; a connection that is not below it is not evictable. Neither
+  // is one with unread bytes, which may complete a request, unless its input is discarded. The kernel is
+  // asked for them only if the connection would otherwise be below `lowest`.
   EvictionPriority PriorityForEviction(Micros now, EvictionPriority lowest) const;
   // Rejects a partial request at once, if there is one. Its last bytes may arrive while the connection is
   // being closed, and its client must then find an answer.
@@ -135,6 +135,7 @@
   void HandleTimeout();
   void HandleDiscardedEnd(InputDiscarder::End end);
 
+  EvictionPriority::Class EvictionClass(Micros now) const;
   bool HasUnreadBytes() const;
   void RecordArrival();
   void Read();
--- a/tests/daemon/client_limits_test.cpp
+++ b/tests/daemon/client_limits_test.cpp
@@ -100,6 +100,34 @@
   CHECK(Receive(slow, "ran r1").text.starts_with(kStatusOk));
 }
 
+// Guards against a request that is read but finds its connection closed without an answer: the eviction of a
+// connection whose response is unread did not ask whether the next request was there.
+TEST_CASE("a request behind an unread response is served although its descriptor is needed") {
+  constexpr int kNewcomers = 80;
+  const std::string padding(30'000, '-');
+  ClientScenario scenario(nlohmann::json{{"/limits/sockets", 64}});
+  const Socket slow = scenario.Connect();
+  // Responses are left unread until the connection takes no more of them. The last request then waits.
+  std::string id = "r1";
+  REQUIRE(Send(slow, Request(id)));
+  for (int number = 2; WaitReadable(scenario.worker, 300); ++number) {
+    ClientScenario::Complete(scenario.AcceptAttempt(id), id, padding);
+    id = "r" + std::to_string(number);
+    REQUIRE(Send(slow, Request(id)));
+  }
+  // A response counts as unread after a second.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'100));
+  std::vector<Socket> newcomers;
+  for (int i = 0; i < kNewcomers; ++i)
+    newcomers.push_back(scenario.Connect());
+  Received received;
+  {
+    const std::jthread reader([&] { received = Receive(slow, "last response"); });
+    ClientScenario::Complete(scenario.AcceptAttempt(id), id, "last response");
+  }
+  CHECK(received.text.ends_with("last response"));
+}
+
 TEST_CASE("a stalled request is rejected before its connection is closed for a new one") {
   constexpr int kNewcomers = 80;
   ClientScenario scenario(nlohmann::json{{"/limits/sockets", 64}});
--- a/tests/daemon/client_scenario.h
+++ b/tests/daemon/client_scenario.h
@@ -127,8 +127,9 @@
     return attempt;
   }
   // Answers an attempt as a worker that has done the job; the result is "ran " and the id.
-  static void Complete(const Socket& attempt, const std::string& id) {
-    const std::string line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"ran " + id + "\"}\n";
+  static void Complete(const Socket& attempt, const std::string& id) { Complete(attempt, id, "ran " + id); }
+  static void Complete(const Socket& attempt, const std::string& id, const std::string& result) {
+    const std::string line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"" + result + "\"}\n";
     REQUIRE(Send(attempt,
                  "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(line.size()) + "\r\n\r\n" + line));
   }
