Do not take a running process of an upgrade for a killed one

A process of an upgrade could remove another one's file in the shared folder, and then would neither transfer its jobs to it nor count it.

Cause: a process created its file and locked it in two steps, and another one that looked between them removed the file, or held the lock itself at that moment, which failed the start. One without a free descriptor also removed each file that it could not open.

Change: the file gets its name by link() once it is locked, and what cannot be opened, other than for want of the file, counts as running.

--- a/src/upgrade/process_group.cpp
+++ b/src/upgrade/process_group.cpp
@@ -21,6 +21,7 @@
 namespace fs = std::filesystem;
 
 constexpr std::string_view kMemberPrefix = "process-";
+constexpr std::string_view kUnlockedPrefix = "starting-";
 constexpr std::string_view kSocketPrefix = "jobs-";
 constexpr const char* kBansFile = "bans.json";
 constexpr const char* kBansLockFile = "bans.lock";
@@ -44,10 +45,13 @@
   return std::string(kMemberPrefix) + digits.data();
 }
 
-// Returns whether a process holds the lock on the member's file.
+// Returns whether a process holds the lock on the member's file. A file that cannot be opened or locked, for
+// example as no descriptor is free, may belong to a running process.
 bool IsRunning(const fs::path& member_file) {
   const UniqueDescriptor file = OpenFile(member_file, O_RDONLY);
-  return file.valid() && !Lock(file, LOCK_SH | LOCK_NB) && errno == EWOULDBLOCK;
+  if (!file.valid())
+    return errno != ENOENT;
+  return !Lock(file, LOCK_SH | LOCK_NB);
 }
 
 }  // namespace
@@ -56,9 +60,15 @@
     : directory_(std::move(directory)), own_name_(MemberName(start_time)) {
   std::error_code ignored;  // if the directory cannot be created, opening the file below fails
   fs::create_directories(directory_, ignored);
-  own_file_ = OpenFile(directory_ / own_name_, O_RDWR | O_CREAT | O_EXCL);
+  // The file gets its name once it is locked: others take a member without a lock for a killed process, and
+  // lock it for a moment themselves to find out.
+  const fs::path unlocked = directory_ / (std::string(kUnlockedPrefix) + own_name_);
+  own_file_ = OpenFile(unlocked, O_RDWR | O_CREAT | O_EXCL);
   if (!own_file_.valid() || !Lock(own_file_, LOCK_EX | LOCK_NB))
-    ThrowSystemError("cannot create and lock", directory_ / own_name_);
+    ThrowSystemError("cannot create and lock", unlocked);
+  if (link(unlocked.c_str(), (directory_ / own_name_).c_str()) != 0)
+    ThrowSystemError("cannot create", directory_ / own_name_);
+  fs::remove(unlocked, ignored);
 }
 
 ProcessGroup::~ProcessGroup() {
--- a/tests/daemon/upgrade_test.cpp
+++ b/tests/daemon/upgrade_test.cpp
@@ -1,9 +1,14 @@
 // Tests of the upgrade of a running dispatcher: the files and messages that its processes share, received
 // jobs in the core, and daemons that replace one another on one endpoint.
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <chrono>
+#include <cstdint>
+#include <exception>
 #include <fstream>
 #include <memory>
 #include <optional>
@@ -68,6 +73,53 @@
   CHECK(!first.ReadBans());
 }
 
+// Guards against a process that starts and is taken for a killed one: its file used to be visible before it
+// was locked, so another process could remove it, or hold its lock at that moment.
+TEST_CASE("a member is known to the others from its start on, also if they look at that moment") {
+  constexpr std::uint64_t kStarts = 20'000;
+  constexpr int kObservers = 4;
+  const TemporaryDirectory directory;
+  const ProcessGroup first(directory.path(), 1);
+  std::atomic<bool> done = false;
+  std::vector<std::jthread> observers;
+  for (int observer = 0; observer < kObservers; ++observer) {
+    observers.emplace_back([&] {
+      while (!done)
+        static_cast<void>(first.Others());
+    });
+  }
+  std::uint64_t unknown = 0;
+  for (std::uint64_t start = 2; start < 2 + kStarts; ++start) {
+    try {
+      const ProcessGroup starting(directory.path(), start);
+      unknown += first.Others().newer == 1 ? 0 : 1;
+    } catch (const std::exception&) {
+      ++unknown;
+    }
+  }
+  done = true;
+  observers.clear();
+  CHECK(unknown == 0);
+}
+
+// Guards against a running process that is taken for a killed one: a process without a free descriptor used
+// to remove the files that it could not open.
+TEST_CASE("a member is not removed by a process that has no free descriptor") {
+  const TemporaryDirectory directory;
+  const ProcessGroup first(directory.path(), 1);
+  const ProcessGroup second(directory.path(), 2);
+  const int lowest_free = dup(STDERR_FILENO);
+  close(lowest_free);
+  rlimit limit{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  // One descriptor is left, which the listing of the directory takes.
+  const rlimit lowered{.rlim_cur = static_cast<rlim_t>(lowest_free) + 1, .rlim_max = limit.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+  static_cast<void>(first.Others());
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  CHECK(first.Others().newer == 1);
+}
+
 TEST_CASE("a transferred job with any bytes decodes to what was encoded; incomplete messages are rejected") {
   upgrade::TransferredJob sent;
   sent.job.id = "r1";
@@ -302,6 +354,9 @@
   old->Signal(SIGTERM);
   CHECK(UnexpectedAnswers(dispatcher, "r1", kDuplicate) == "");
   CHECK(old->WaitForExit() == 0);
+  // The next process holds the id as well, so a third one knows it. Nothing is asked before that, as each
+  // request with the id locks it anew.
+  const auto third = dispatcher.StartReadyProcess();
   CHECK(UnexpectedAnswers(dispatcher, "r1", kDuplicate) == "");
   dispatcher.worker.CompleteJobs();
   request.join();
