Keep a transferred job's id locked for the process that receives it

What callers saw: nothing was reported. During an upgrade a request with the id of a job that was being transferred could leave the receiving process without its lock; a third process then admitted the id and ran the job again.

Cause: the sending process shares its lock before it sends the job, but the next request with that id locked the id exclusively again, and the receiver's shared lock failed.

Change: a process asks for a lock only if the id is not open in it.

--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -51,6 +51,7 @@
   std::size_t AvoidedWorkers() const;
   // Returns the jobs that may be transferred to another process; see RequestTransfer.
   std::vector<InFlightJob> InFlightJobs() const { return transfer_.InFlightJobs(); }
+  bool IsJobIdOpen(const std::string& id) const { return job_ids_.IsOpen(id); }
   const DrainSchedule& drain() const { return drain_; }
   const std::set<std::string>& banned() const { return bans_.workers(); }
   // Returns whether the endpoint list has not expired and discovery, if configured, has sent it to this
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -142,7 +142,9 @@
 
 void Daemon::LockJobId(RequestReceived& received) const {
   const auto& lock = registry_.process_group.lock_job_id;
-  if (!lock || received.job.id.empty())
+  // This process has locked an id that is open in it. The lock may be shared with the process that is about
+  // to receive the job, and an exclusive lock would then keep that process out.
+  if (!lock || received.job.id.empty() || reducer_.IsJobIdOpen(received.job.id))
     return;
   // The process that transfers a job keeps its own lock until it exits.
   using Mode = upgrade::JobIdLocks::Mode;
