--- a/tests/daemon/daemon_under_test.h
+++ b/tests/daemon/daemon_under_test.h
@@ -233,7 +233,16 @@
   }
   int Ended(int status) {
     pid_ = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    const int exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    if (exit_code != 0)
+      PrintLogEnd(exit_code);
+    return exit_code;
+  }
+  // Shows why the program failed, for example a sanitizer's report.
+  void PrintLogEnd(int exit_code) const {
+    constexpr std::size_t kMaxPrinted = 8'192;
+    const std::string end = log_text_.substr(log_text_.size() - std::min(log_text_.size(), kMaxPrinted));
+    std::fprintf(stderr, "the program ended with %d; the end of its log:\n%s\n", exit_code, end.c_str());
   }
 
   const TemporaryDirectory directory_;
