--- a/tests/daemon/faktory_session_test.cpp
+++ b/tests/daemon/faktory_session_test.cpp
@@ -1,9 +1,14 @@
 // Tests of the running program's Faktory sessions: pipelined commands, clients that leave, times and bodies.
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <cstdio>
 #include <exception>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -18,6 +23,13 @@
 using std::chrono::milliseconds;
 using tools::FaktorySession;
 
+std::uint16_t PortOf(FaktorySession& session) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  REQUIRE(getsockname(session.wire().fd(), reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  return ntohs(address.sin_port);
+}
+
 // Pushes that take up at least this many bytes.
 std::string PushesOf(std::size_t bytes, const std::string& jid_prefix) {
   std::string pushes;
@@ -26,6 +38,30 @@
   return pushes;
 }
 
+// The bytes that wait in the kernel on the connections from this port, in either direction.
+std::uint64_t WaitingBytes(std::uint16_t client_port) {
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);  // the header
+  std::uint64_t waiting = 0;
+  while (std::getline(table, line)) {
+    unsigned local = 0;
+    unsigned remote = 0;
+    unsigned sending = 0;
+    unsigned receiving = 0;
+    if (std::sscanf(line.c_str(), " %*u: %*x:%x %*x:%x %*x %x:%x", &local, &remote, &sending, &receiving) ==
+            4 &&
+        (local == client_port || remote == client_port))
+      waiting += sending + receiving;
+  }
+  return waiting;
+}
+
+void AwaitAllRead(std::uint16_t client_port) {
+  while (WaitingBytes(client_port) > 0)
+    std::this_thread::sleep_for(milliseconds(10));
+}
+
 // Guards against a job that runs after its client has given up: the deadline of a push that waited behind
 // another one used to count from when it was read.
 TEST_CASE("the deadline of a pipelined push counts from its last byte") {
@@ -47,11 +83,14 @@
   for (const std::size_t waiting : {std::size_t{1'000}, std::size_t{400'000}, std::size_t{1'600'000}}) {
     CAPTURE(waiting);
     const std::string first = "first-" + std::to_string(++clients);
+    std::uint16_t client_port = 0;
     {
       FaktorySession producer(dispatcher.faktory_port());
+      client_port = PortOf(producer);
       producer.wire().Write(PushCommand(first) + "\r\n" + PushesOf(waiting, first + "-"));
       CHECK(dispatcher.Fetch() == first);
     }
+    AwaitAllRead(client_port);
     std::this_thread::sleep_for(milliseconds(100));
     dispatcher.Acknowledge(first, "");
     CHECK(dispatcher.NothingToFetch());
@@ -68,6 +107,7 @@
     commands += invalid;
   producer.wire().Write(commands);
   CHECK(dispatcher.Fetch() == "first");
+  AwaitAllRead(PortOf(producer));
   dispatcher.Acknowledge("first", "");
   CHECK(producer.wire().ReadLine() == "+OK");
   int answered = 0;
