Draw the random numbers of the digest tests in an order that C++ fixes

Cause: two random numbers were drawn in two arguments of one call, or in the two operands of one +. C++ leaves their order open: g++ for x86-64 evaluates the last one first, for arm64 the first one first, so that a seed played another sequence of events on arm64 and the recorded digests differed from seed 1 on.

Change: these draws are statements of their own, in the order in which x86-64 made them: the four calls of Schedule in which delay and event are drawn, the one for SubscribeList, and the name of WorkerBanned. tests/recorded/ is unchanged.

Result on arm64: core_digest and DispatchDigest.ActionsEqualTheRecordedOnes pass in the release build and under the sanitizers, against the digests that were recorded on x86-64; before, both failed there.

--- a/tests/daemon/random_core_run.h
+++ b/tests/daemon/random_core_run.h
@@ -306,9 +306,12 @@
       }
       case 2:
         return Post(RequestRejectedByFrontend{Frontend::kHttp, random_.Pick(kStatuses), "bad", ""});
-      default:
-        return Post(WorkerBanned{(random_.Percent(80) ? "w" : "s") + std::to_string(random_.Below(5)),
-                                 random_.Percent(50)});
+      default: {
+        // Drawn in statements of their own: C++ leaves the order of the operands of + open.
+        const std::string number = std::to_string(random_.Below(5));
+        const std::string name = (random_.Percent(80) ? "w" : "s") + number;
+        return Post(WorkerBanned{name, random_.Percent(50)});
+      }
     }
   }
 
--- a/tests/dispatch_digest_test.cpp
+++ b/tests/dispatch_digest_test.cpp
@@ -219,7 +219,8 @@
   // Runs the sequence and returns its digest.
   std::uint64_t Run() {
     Schedule(0, DrawList(WorkerList::Form::kFull));
-    Schedule(draws_.Below(mean_gap_), MakeArrival());
+    Arrival first = MakeArrival();
+    Schedule(draws_.Below(mean_gap_), std::move(first));
     for (int played = 0; played < kEventsPerSeed && !queue_.empty(); ++played) {
       const Scheduled next = queue_.top();
       queue_.pop();
@@ -291,20 +292,25 @@
     return true;
   }
 
-  // Schedules the next arrival and, at random, a change of the worker list or a client that disconnects.
+  // Schedules the next arrival and, at random, a change of the worker list or a client that disconnects. Each
+  // event is drawn before its delay, in a statement of its own: C++ leaves the order of a call's arguments
+  // open.
   void ScheduleNext() {
     // Every third block of 40 arrivals is a surge.
     const std::int64_t rate_factor = (arrivals_ / 40) % 3 == 1 ? 8 : 1;
-    Schedule(draws_.Below(2 * mean_gap_ / rate_factor + 1), MakeArrival());
-    if (draws_.OneIn(12))
-      Schedule(draws_.Below(mean_gap_),
-               ClientGone{RequestId{static_cast<std::uint64_t>(draws_.Between(1, arrivals_))}});
+    Arrival next = MakeArrival();
+    Schedule(draws_.Below(2 * mean_gap_ / rate_factor + 1), std::move(next));
+    if (draws_.OneIn(12)) {
+      const ClientGone gone{RequestId{static_cast<std::uint64_t>(draws_.Between(1, arrivals_))}};
+      Schedule(draws_.Below(mean_gap_), gone);
+    }
     if (!draws_.OneIn(10))
       return;
     const WorkerList::Form kForms[] = {WorkerList::Form::kDelta, WorkerList::Form::kDelta,
                                        WorkerList::Form::kFull, WorkerList::Form::kCached,
                                        WorkerList::Form::kFailed};
-    Schedule(draws_.Below(mean_gap_), DrawList(kForms[draws_.Below(5)]));
+    WorkerList list = DrawList(kForms[draws_.Below(5)]);
+    Schedule(draws_.Below(mean_gap_), std::move(list));
   }
 
   Arrival MakeArrival() {
@@ -433,7 +439,8 @@
     if (draws_.OneIn(4))
       return;
     const bool fails = draws_.OneIn(3);
-    Schedule(draws_.Below(100'000), DrawList(fails ? WorkerList::Form::kFailed : WorkerList::Form::kFull));
+    WorkerList list = DrawList(fails ? WorkerList::Form::kFailed : WorkerList::Form::kFull);
+    Schedule(draws_.Below(100'000), std::move(list));
   }
   void CarryOut(const Log& /*log*/) {}
 
