Bound the token bank's capacities, whose conversion to int could overflow

Cause: TokenBank::Capacity and BufferCapacity converted a double beyond int's range to int, which is undefined. arm64 gives the largest int, x86-64 the smallest; adding the highest price then overflowed (token_bank.h:41 under the undefined-behaviour sanitizer).

Change: the conversion saturates at 100 million tokens, far enough below int's largest value that sums of capacities stay in range. A test of the token bank covers rates of 1e10 and 1e300.

--- a/src/dispatch/token_bank.h
+++ b/src/dispatch/token_bank.h
@@ -33,19 +33,24 @@
   // hundredth. With a hundred nodes, a node may get only one token of a tenant every ten seconds.
   static constexpr double kMinJobs = 8.0;
 
+  // Upper bound of a capacity without its highest price: far below int's largest value, so that sums of
+  // capacities stay in range.
+  static constexpr double kMaxTokens = 100'000'000.0;
+  // The whole tokens of a positive number. Conversion of a double beyond int's range would be undefined.
+  static int WholeTokens(double tokens) { return static_cast<int>(std::min(kMaxTokens, tokens)); }
+
   // C_T, the capacity of the bank in tokens: the highest price, kMinJobs mean jobs, one second of the
   // tenant's tokens and twice the standard deviation of that number.
   int Capacity(const TokenStream& stream) const {
     const double tokens_per_second = share * stream.rate;
-    return highest_price + static_cast<int>(kMinJobs * stream.mean_price + tokens_per_second +
-                                            2.0 * std::sqrt(tokens_per_second));
+    return highest_price +
+           WholeTokens(kMinJobs * stream.mean_price + tokens_per_second + 2.0 * std::sqrt(tokens_per_second));
   }
   // C_J, the capacity of the buffer in tokens: the tokens that are issued while a job may wait in the buffer
   // (half of the shortest target), at least the highest price. It is small, as section 6 of the paper
   // advises.
   int BufferCapacity(const TokenStream& stream) const {
-    return std::max(highest_price,
-                    static_cast<int>(share * stream.rate * stream.shortest_target / 2.0 / kSecond));
+    return std::max(highest_price, WholeTokens(share * stream.rate * stream.shortest_target / 2.0 / kSecond));
   }
   // U = T - J + C_J. A job is admitted if its price does not exceed it.
   int Counter(const TokenStream& stream) const { return tokens - owed + BufferCapacity(stream); }
--- a/tests/dispatch/token_bank_test.cpp
+++ b/tests/dispatch/token_bank_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the throttle's banks and buffers and of the division of the token stream among tenants.
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "module_parts.h"
 
 namespace aldersill::dispatch::testing {
@@ -20,6 +22,18 @@
   EXPECT_EQ(bank.Counter(stream), 4 - 2 + 3);
 }
 
+TEST(TokenBank, CapacitiesStayInRangeAtARateBeyondInt) {
+  const TokenBank bank{.share = 1.0, .tokens = 5, .owed = 2, .highest_price = 3};
+  for (const double rate : {1e10, 1e300}) {
+    const TokenStream stream{.rate = rate, .shortest_target = kSecond};
+    const int largest = static_cast<int>(TokenBank::kMaxTokens);
+    EXPECT_EQ(bank.Capacity(stream), 3 + largest);
+    EXPECT_EQ(bank.BufferCapacity(stream), largest);
+    EXPECT_EQ(bank.Counter(stream), 5 - 2 + largest);
+    EXPECT_LT(bank.Capacity(stream), std::numeric_limits<int>::max() / 2 - bank.BufferCapacity(stream));
+  }
+}
+
 // Settings with two tenants, whose quotas give ten tokens a second together.
 Settings TwoTenants(double first_share, double second_share) {
   Settings settings = BasicSettings();
