--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -25,6 +25,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <sstream>
 #include <string>
