--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -30,6 +30,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -120,7 +121,13 @@
     _exit(kCouldNotRun);
   const char* trouble = std::getenv("TROUBLE");
   state.trouble = trouble == nullptr || std::string(trouble) != "0";
-  std::string pattern = (std::filesystem::temp_directory_path() / "aldersill-review-XXXXXX").string();
+  // Short, as the processes of an upgrade put a Unix socket below it, whose path may hold 107 bytes.
+  constexpr std::size_t kLongestFolder = 40;
+  std::error_code no_folder;
+  std::string base = std::filesystem::temp_directory_path(no_folder).string();
+  if (no_folder || base.size() > kLongestFolder)
+    base = "/tmp";
+  std::string pattern = base + "/ar-XXXXXX";
   if (mkdtemp(pattern.data()) == nullptr)
     Finish(kCouldNotRun, "no temporary folder");
   state.temp = pattern;
